--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,901 @@
+// The interface of this package is in api.go; this file holds every decision. It follows Algorithm 2.2 of
+// "Consistent Load Balancing Via Spread Minimization" (Kleinberg, Leighton, STOC 2003).
+
+package brain
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	roundEvery  = 2 * time.Second        // a round of the design page; short enough to follow a burst
+	surplus     = 0.2                    // epsilon: room beyond the demand, as the paper assumes
+	unanswered  = 0.1                    // instances that a function counts until it has answered
+	pendingCap  = 4                      // own load orders at one worker before the next is tried
+	rateGain    = 0.3                    // weight of the newest round in a rate: some 6 s of memory
+	slowGain    = 0.06                   // the same for its long rate, which tells whether to hold it: 30 s
+	runGain     = 0.1                    // weight of one answer in a function's run time
+	workerGain  = 0.06                   // weight of one answer in a worker's slowness: ten answers tell half
+	unitStep    = 1.5                    // most that one answer may be off, in logs: heavy tails say little
+	doubtPhi    = 6                      // expected answers overdue before a silent worker is doubted
+	doubtAfter  = 400 * time.Millisecond // shortest silence that raises a doubt: longer than a usual stall
+	askEvery    = time.Second            // how often a doubted worker is asked for a sign of life
+	patience    = 3                      // an attempt is overdue at this multiple of its expected time,
+	patienceMin = 100 * time.Millisecond // and not before this has been added to it
+	hedgeShare  = 0.1                    // second copies and cancels, of the calls: no storm of them
+	hedgeBurst  = 10                     // second copies at once, enough for what one worker holds
+	holdFor     = 30 * time.Millisecond  // first wait of a request with nowhere to go, doubled each time
+	failedFor   = 500 * time.Millisecond // first rest after a failed load, doubled each time
+	loadGuess   = 800 * time.Millisecond // a load's time before any is known
+	runGuess    = 100 * time.Millisecond // a run's time before any is known
+	holdReserve = 0.5                    // of the load ration that holding warm leaves to misses
+	forgetAfter = 2 * time.Minute        // a function not called for so long is forgotten
+)
+
+// worker is what this router knows of one worker.
+type worker struct {
+	Member
+	cold, doubted bool
+	open          []*attempt    // own attempts out, oldest first
+	heard, asked  time.Duration // last sign of life, and last asked for one
+	slowness      float64       // log of its answer times over what they should be
+	orders        int           // own load orders out
+	spent         []spend       // sent of late while cold
+	slice         float64       // room left in the walk
+}
+
+type spend struct {
+	at   time.Duration
+	work float64
+}
+
+// function is what this router knows of one function.
+type function struct {
+	key                   string
+	memory, lanes, demand float64
+	load, called          time.Duration
+	calls                 int     // in this round
+	rate, longRate        float64 // own calls a second
+	run, unit             float64 // log of answer time over unit, and the mean unit, see request.unit
+	answered              bool
+	ranked                []*worker
+	rankedAt              int // the roster that ranked belongs to
+	split                 []part
+	places                map[string]*place
+}
+
+// part is a worker's share of a function.
+type part struct {
+	w     *worker
+	share float64
+}
+
+// place is a function at a worker.
+type place struct {
+	inFlight, failures int
+	warmTill           time.Duration // a copy was seen or used, and stays until then
+	ordered, restTill  time.Duration // when the order now out was given, or 0; no orders until then
+	waiting            []RequestID
+}
+
+type class struct {
+	Class
+	work float64 // mean seconds of work, learned
+}
+
+type request struct {
+	Request
+	fn           *function
+	class        *class
+	deadline     time.Duration
+	attempts     []*attempt
+	out, holds   int
+	wanted, done bool // an attempt is called for; a final answer was given
+}
+
+type attempt struct {
+	r        *request
+	w        *worker
+	n        int
+	sent     time.Duration
+	expected float64 // seconds
+	warm     bool    // a copy was thought to stand there
+	ended    bool
+	ran      bool // may have run
+	bad      bool // not to be tried there again
+	given    bool // given up on: overdue
+}
+
+// unit is what a request's time is measured by: its hint, or a second where there is none.
+func (r *request) unit() float64 {
+	if r.Work > 0 {
+		return r.Work.Seconds()
+	}
+	return 1
+}
+
+// wake is a moment at which a request is to be looked at again.
+type wake struct {
+	at time.Duration
+	id RequestID
+}
+
+// Dispatcher decides for one router.
+type Dispatcher struct {
+	set                   Settings
+	rng                   *rand.Rand
+	now, armed, lastRound time.Duration // armed: the earliest Wake out
+	begun                 bool
+	out                   []Action
+	workers               map[string]*worker
+	list                  []*worker // those that may be sent to, by id
+	roster                int       // counts the changes of list
+	memory                map[string]float64
+	classes               map[string]*class
+	fns                   map[string]*function
+	order                 []*function // in order of first sight
+	reqs                  map[RequestID]*request
+	wakes                 []wake          // by time
+	rate, work, workRate  float64         // own calls and seconds of work: a second, this round, a second
+	calls, orders         []time.Duration // within the span of the load ration
+	hedges, loadTime      float64         // second copies saved up; log of the load times seen
+	allMemory             float64
+}
+
+// New returns a Dispatcher with no knowledge but its settings.
+func New(s Settings, seed uint64) (*Dispatcher, error) {
+	switch {
+	case len(s.Classes) == 0:
+		return nil, errors.New("brain: settings name no class")
+	case s.MaxAttempts < 1:
+		return nil, fmt.Errorf("brain: %d attempts allowed, at least 1 needed", s.MaxAttempts)
+	case min(s.LoadSpan, s.FallSpan, s.ColdFor, s.IdleKeep) < 0:
+		return nil, errors.New("brain: a span in the settings is negative")
+	}
+	s.Routers = max(s.Routers, 1)
+	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, 0)), workers: map[string]*worker{},
+		memory: map[string]float64{}, classes: map[string]*class{}, fns: map[string]*function{},
+		reqs: map[RequestID]*request{}, loadTime: math.Log(loadGuess.Seconds())}
+	for _, k := range s.Kinds {
+		d.memory[k.Name] = k.MemoryMB
+	}
+	for _, c := range s.Classes {
+		d.classes[c.Name] = &class{Class: c, work: runGuess.Seconds()}
+	}
+	return d, nil
+}
+
+// Step takes what has happened up to now and returns what to do about it.
+func (d *Dispatcher) Step(now time.Duration, events []Event) []Action {
+	d.now, d.out = max(now, d.now), nil
+	if !d.begun {
+		d.begun, d.lastRound = true, d.now
+		if d.set.MustAsk {
+			d.act(Watch{})
+		}
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case Roster:
+			d.changed(e)
+		case Request:
+			d.accept(e)
+		case Outcome:
+			d.ended(e)
+		case Dropped:
+			if r := d.reqs[e.ID]; r != nil {
+				d.close(r)
+			}
+		case Loaded:
+			d.loaded(e)
+		case Probed:
+			if w := d.workers[e.Worker]; w != nil && e.Result == OK {
+				d.alive(w)
+			}
+		}
+	}
+	for len(d.wakes) > 0 && d.wakes[0].at <= d.now {
+		r := d.reqs[d.wakes[0].id]
+		if d.wakes = d.wakes[1:]; r != nil {
+			d.look(r)
+		}
+	}
+	if d.now-d.lastRound >= roundEvery {
+		d.round()
+	}
+	next := d.lastRound + roundEvery
+	if len(d.wakes) > 0 {
+		next = min(next, d.wakes[0].at)
+	}
+	if d.armed <= d.now || next < d.armed {
+		d.armed = max(next, d.now+time.Millisecond)
+		d.act(Wake{After: d.armed - d.now})
+	}
+	return d.out
+}
+
+func (d *Dispatcher) act(a Action) { d.out = append(d.out, a) }
+
+// wakeAt has a request looked at again.
+func (d *Dispatcher) wakeAt(r *request, at time.Duration) {
+	at = max(at, d.now+1)
+	i := sort.Search(len(d.wakes), func(i int) bool { return d.wakes[i].at > at })
+	d.wakes = slices.Insert(d.wakes, i, wake{at, r.ID})
+}
+
+// Roster ------------------------------------------------------------------------------------------------
+
+// changed follows the list. A worker with a fresh start is empty and cold, and what is out there is lost.
+func (d *Dispatcher) changed(e Roster) {
+	if e.Failed {
+		if d.set.MustAsk {
+			d.act(Watch{})
+		}
+		return
+	}
+	named := map[string]bool{}
+	for _, m := range e.Members {
+		named[m.ID] = true
+		w := d.workers[m.ID]
+		if w == nil {
+			w = &worker{}
+			d.workers[m.ID] = w
+		} else if m.Started > w.Started {
+			for _, f := range d.order {
+				delete(f.places, m.ID)
+			}
+			w = &worker{open: w.open, heard: d.now}
+			d.workers[m.ID] = w
+			for _, a := range w.open {
+				a.w = w
+			}
+		}
+		w.Member = m
+		w.cold = m.Started > 0 && d.now-m.Started < d.set.ColdFor
+	}
+	d.list = d.list[:0:0]
+	for id, w := range d.workers {
+		if e.Whole && !named[id] {
+			w.State = Gone
+		}
+		if w.State == On {
+			d.list = append(d.list, w)
+		}
+	}
+	slices.SortFunc(d.list, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	d.roster++
+	if d.begun && d.lastRound < d.now {
+		d.walk()
+	}
+}
+
+// Ordinary path -----------------------------------------------------------------------------------------
+
+// rank orders the workers for a function by hash, the same at every router.
+func (d *Dispatcher) rank(f *function) []*worker {
+	if f.rankedAt == d.roster && f.ranked != nil {
+		return f.ranked
+	}
+	hash := func(w *worker) uint64 { return xxhash.Sum64String(f.key + "\x00" + w.ID) }
+	f.ranked, f.rankedAt = slices.Clone(d.list), d.roster
+	slices.SortStableFunc(f.ranked, func(a, b *worker) int { return cmp.Compare(hash(b), hash(a)) })
+	return f.ranked
+}
+
+// round measures every function and lays out the splits anew.
+func (d *Dispatcher) round() {
+	span := (d.now - d.lastRound).Seconds()
+	d.lastRound = d.now
+	d.workRate += rateGain * (d.work/span - d.workRate)
+	d.work = 0
+	d.rate = 0
+	kept := d.order[:0]
+	for _, f := range d.order {
+		now := float64(f.calls) / span
+		f.rate += rateGain * (now - f.rate)
+		f.longRate += slowGain * (now - f.longRate)
+		f.calls = 0
+		d.rate += f.rate
+		if d.now-f.called > forgetAfter {
+			delete(d.fns, f.key)
+			continue
+		}
+		kept = append(kept, f)
+	}
+	d.order = kept
+	mean := 0.0
+	for _, w := range d.list {
+		mean += w.slowness / float64(len(d.list))
+	}
+	for _, w := range d.list {
+		w.slowness -= mean
+		w.cold = w.cold && d.now-w.Started < d.set.ColdFor
+	}
+	d.walk()
+	d.holdWarm()
+}
+
+// walk fills the workers' slices with the functions, lightest first.
+func (d *Dispatcher) walk() {
+	total, room := 0.0, 0.0
+	byWeight := slices.Clone(d.order)
+	d.allMemory = 0
+	for _, f := range d.order {
+		copies := unanswered
+		if f.answered {
+			copies = f.rate * math.Exp(f.run) * f.unit / f.lanes
+		}
+		f.demand = copies * f.memory
+		total += f.demand
+	}
+	slices.SortStableFunc(byWeight, func(a, b *function) int {
+		return cmp.Or(cmp.Compare(a.demand, b.demand), cmp.Compare(a.key, b.key))
+	})
+	for _, w := range d.list {
+		w.slice = d.trust(w) * max(d.memory[w.Kind], 1)
+		room += w.slice
+		d.allMemory += d.memory[w.Kind]
+	}
+	for _, w := range d.list {
+		w.slice *= total * (1 + surplus) / max(room, 1e-9)
+	}
+	for _, f := range byWeight {
+		ranked := d.rank(f)
+		f.split = f.split[:0]
+		left := f.demand
+		for _, w := range ranked {
+			if left <= 1e-9 {
+				break
+			}
+			if take := min(left, w.slice); take > 1e-9 {
+				w.slice -= take
+				left -= take
+				f.split = append(f.split, part{w, take / f.demand})
+			}
+		}
+		if len(ranked) == 0 || f.demand <= 0 || left <= 1e-9 {
+			continue
+		}
+		if len(f.split) > 0 && f.split[0].w == ranked[0] {
+			f.split[0].share += left / f.demand
+		} else {
+			f.split = slices.Insert(f.split, 0, part{ranked[0], left / f.demand})
+		}
+	}
+}
+
+// trust is the part of its memory that a worker's slice is cut from. It guards against workers that are
+// slow, crowded by others, cold or silent, whatever the cause: their functions spill down the ranking, and
+// come back as the answers do. It hurts where answers are slow for the functions' own sake.
+func (d *Dispatcher) trust(w *worker) float64 {
+	if w.doubted && !d.manyDoubted() {
+		return 0.01
+	}
+	return min(math.Exp(-w.slowness), 1.5) * d.warmth(w)
+}
+
+// warmth is the share of its capacity that a worker surely has.
+func (d *Dispatcher) warmth(w *worker) float64 {
+	if !w.cold || d.set.ColdFor == 0 {
+		return 1
+	}
+	age := float64(d.now-w.Started) / float64(d.set.ColdFor)
+	return min(max(d.set.ColdShare+(1-d.set.ColdShare)*age, d.set.ColdShare, 0.01), 1)
+}
+
+// pick chooses where a request goes: in the split the worker with the fewest own requests in flight per
+// share, then down the ranking. A doubted worker and one that failed this request are passed over while
+// another legal one stands. Where the choice holds no copy and another worker does, the choice is told to
+// load and the other serves: a split that moves or grows costs nobody a load's wait.
+func (d *Dispatcher) pick(r *request) *worker {
+	f := r.fn
+	parts := slices.Clone(f.split)
+	per := func(p part) float64 { return float64(f.place(p.w).inFlight+1) / p.share }
+	slices.SortStableFunc(parts, func(a, b part) int { return cmp.Compare(per(a), per(b)) })
+	order := make([]*worker, 0, len(d.list))
+	for _, p := range parts {
+		if p.w.State == On {
+			order = append(order, p.w)
+		}
+	}
+	for _, w := range d.rank(f) {
+		if !slices.Contains(order, w) {
+			order = append(order, w)
+		}
+	}
+	many := d.manyDoubted()
+	var choice, second *worker
+	for _, w := range order {
+		if !d.maySend(r, w) {
+			continue
+		}
+		p := f.place(w)
+		if d.doubt(w) && !many || r.failedAt(w) || d.now < p.restTill || d.stuck(f, p) {
+			if second == nil && !(r.failedAt(w) && r.out > 0) {
+				second = w
+			}
+			continue
+		}
+		if d.now < p.warmTill {
+			if choice != nil && d.set.MayOrder {
+				d.load(f, choice, 1, 1)
+			}
+			return w
+		}
+		if choice == nil && (p.ordered > 0 || w.orders < pendingCap) {
+			choice = w
+		}
+	}
+	if choice == nil {
+		return second
+	}
+	return choice
+}
+
+func (r *request) failedAt(w *worker) bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.w == w && (a.bad || !a.ended) })
+}
+
+func (f *function) place(w *worker) *place {
+	p := f.places[w.ID]
+	if p == nil {
+		p = &place{}
+		f.places[w.ID] = p
+	}
+	return p
+}
+
+// Loads -------------------------------------------------------------------------------------------------
+
+// loadsIn is the time that a load of f should take.
+func (d *Dispatcher) loadsIn(f *function) time.Duration {
+	if f.load > 0 {
+		return f.load
+	}
+	return time.Duration(math.Exp(d.loadTime) * float64(time.Second))
+}
+
+// stuck tells that an order has been out for longer than loads take, even from a crowded store.
+func (d *Dispatcher) stuck(f *function, p *place) bool {
+	return p.ordered > 0 && d.now-p.ordered > patience*d.loadsIn(f)+2*patienceMin
+}
+
+// load is the gate of all load orders. It joins an order already out, lets a failed load rest, keeps to
+// the cap and the ration (ration is the part of it that this order may use up), and orders nothing where
+// nothing may be sent.
+func (d *Dispatcher) load(f *function, w *worker, copies int, ration float64) bool {
+	p := f.place(w)
+	if p.ordered > 0 {
+		return true
+	}
+	if !d.set.MayOrder || w.State != On || w.orders >= pendingCap || d.now < p.restTill {
+		return false
+	}
+	if d.set.LoadSpan > 0 {
+		from := d.now - d.set.LoadSpan
+		d.calls = slices.DeleteFunc(d.calls, func(at time.Duration) bool { return at <= from })
+		d.orders = slices.DeleteFunc(d.orders, func(at time.Duration) bool { return at < from })
+		if float64(len(d.orders)+1) > ration*(d.set.LoadFree+d.set.LoadRatio*float64(len(d.calls))) {
+			return false
+		}
+		d.orders = append(d.orders, d.now)
+	}
+	p.ordered = d.now
+	w.orders++
+	d.act(LoadOrder{Worker: w.ID, Function: f.key, Copies: copies})
+	return true
+}
+
+// loaded takes the answer to an order and lets the requests go that waited on it.
+func (d *Dispatcher) loaded(e Loaded) {
+	w, f := d.workers[e.Worker], d.fns[e.Function]
+	if w == nil {
+		return
+	}
+	if e.Result == OK || e.Result == Refused || e.Result == Errored {
+		d.alive(w)
+	}
+	if f == nil {
+		return
+	}
+	p := f.place(w)
+	if p.ordered == 0 {
+		return // an ask, or an order to an earlier life of the worker
+	}
+	w.orders = max(w.orders-1, 0)
+	p.ordered = 0
+	if e.Result == OK || e.Copies > 0 {
+		if e.Took > 20*time.Millisecond {
+			d.loadTime += runGain * (math.Log(e.Took.Seconds()) - d.loadTime)
+		}
+		p.warmTill, p.failures = d.now+d.set.IdleKeep, 0
+	} else {
+		d.loadFailed(p)
+	}
+	waiting := p.waiting
+	p.waiting = nil
+	for _, id := range waiting {
+		if r := d.reqs[id]; r != nil && r.wanted {
+			d.route(r)
+		}
+	}
+}
+
+// loadFailed rests a place, longer each time and never two routers in step: a store or a worker in
+// trouble is not stormed.
+func (d *Dispatcher) loadFailed(p *place) {
+	p.warmTill = 0
+	rest := float64(failedFor) * math.Exp2(float64(min(p.failures, 4))) * (0.75 + d.rng.Float64()/2)
+	p.restTill = d.now + time.Duration(rest)
+	p.failures++
+}
+
+// holdWarm renews copies before they are dropped for idleness, where a call to come is worth more than
+// the memory that waits for it. A copy voided by a release comes back before it is called.
+func (d *Dispatcher) holdWarm() {
+	if !d.set.MayOrder || d.rate <= 0 {
+		return
+	}
+	for _, f := range d.order {
+		if f.longRate/d.rate < d.set.Prices.IdleMemory*f.memory/max(d.allMemory, 1) || len(f.split) == 0 {
+			continue
+		}
+		w := f.split[0].w
+		p := f.place(w)
+		if w.doubted || p.inFlight > 0 || p.warmTill == 0 || p.warmTill-d.now > d.set.IdleKeep/2 {
+			continue
+		}
+		d.load(f, w, 1, holdReserve)
+	}
+}
+
+// A request's life --------------------------------------------------------------------------------------
+
+func (d *Dispatcher) accept(e Request) {
+	c := d.classes[e.Class]
+	if c == nil { // not in the settings: nothing may be assumed of it
+		c = &class{Class: Class{Name: e.Class}, work: runGuess.Seconds()}
+		d.classes[e.Class] = c
+	}
+	f := d.fns[e.Function]
+	if f == nil {
+		f = &function{key: e.Function, places: map[string]*place{}, run: math.Log(runGuess.Seconds())}
+		if e.Work > 0 {
+			f.run = 0
+		}
+		d.fns[e.Function] = f
+		d.order = append(d.order, f)
+	}
+	r := &request{Request: e, fn: f, class: c, deadline: d.now + max(e.Left, 0), wanted: true}
+	f.memory, f.lanes, f.load = max(e.MemoryMB, 1), float64(max(e.Lanes, 1)), e.LoadTime
+	f.calls++
+	f.called = d.now
+	if f.unit == 0 {
+		f.unit = r.unit()
+	}
+	f.unit += runGain * (r.unit() - f.unit)
+	if e.Work > 0 {
+		c.work += workerGain * (e.Work.Seconds() - c.work)
+	}
+	d.work += c.work
+	d.hedges = min(d.hedges+hedgeShare, hedgeBurst)
+	if d.set.LoadSpan > 0 {
+		d.calls = append(d.calls, d.now)
+	}
+	d.reqs[e.ID] = r
+	d.wakeAt(r, r.deadline+d.set.AnswerGrace/4)
+	d.route(r)
+}
+
+// route sends a request on, or has it wait for a load or for a worker.
+func (d *Dispatcher) route(r *request) {
+	if r.done {
+		return
+	}
+	r.wanted = true
+	if len(r.attempts) >= d.set.MaxAttempts || r.mayRun() && r.class.Effect == Unsafe {
+		if r.out == 0 {
+			d.conclude(r)
+		}
+		return
+	}
+	w := d.pick(r)
+	if w == nil {
+		if r.out == 0 {
+			d.hold(r)
+		}
+		return
+	}
+	if p := r.fn.place(w); p.ordered > 0 && d.now >= p.warmTill && !d.stuck(r.fn, p) {
+		p.waiting = append(p.waiting, r.ID)
+		d.wakeAt(r, p.ordered+patience*d.loadsIn(r.fn)+2*patienceMin+time.Millisecond)
+		return
+	}
+	d.send(r, w)
+}
+
+// hold has a request wait a little, longer each time.
+func (d *Dispatcher) hold(r *request) {
+	d.wakeAt(r, d.now+holdFor<<min(r.holds, 5))
+	r.holds++
+}
+
+// look is a request's wake: its time is up, it waits for something, or an attempt may be overdue.
+func (d *Dispatcher) look(r *request) {
+	switch {
+	case r.done:
+	case d.now >= r.deadline:
+		d.conclude(r)
+	case r.wanted && r.out == 0:
+		d.route(r)
+	default:
+		d.overdue(r)
+	}
+}
+
+// overdue sends a second copy of a request whose attempt takes longer than it should, or takes it back
+// from a silent worker where two at once are not allowed. It guards against workers that hang, stall,
+// vanish or crawl; hedges are a small share of the calls, so a slow fleet is not made slower by them.
+func (d *Dispatcher) overdue(r *request) {
+	if r.out != 1 || r.class.Effect == Unsafe || d.hedges < 1 {
+		return
+	}
+	i := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.ended })
+	a := r.attempts[i]
+	if due := d.due(a); d.now < due {
+		d.wakeAt(r, due)
+		return
+	}
+	if a.given {
+		return
+	}
+	if d.set.SecondCopies {
+		a.given = true
+		n := len(r.attempts)
+		if d.route(r); len(r.attempts) > n {
+			d.hedges--
+		}
+		return
+	}
+	if d.set.MayCancel && d.doubt(a.w) && !d.manyDoubted() {
+		a.given = true
+		d.hedges--
+		d.act(Cancel{ID: r.ID, Attempt: a.n})
+		return
+	}
+	d.wakeAt(r, d.now+patienceMin)
+}
+
+// due is when an attempt is overdue.
+func (d *Dispatcher) due(a *attempt) time.Duration {
+	return a.sent + patienceMin + time.Duration(patience*a.expected*float64(time.Second))
+}
+
+// ended takes the end of an attempt.
+func (d *Dispatcher) ended(e Outcome) {
+	r := d.reqs[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	w, p := a.w, r.fn.place(a.w)
+	a.ended = true
+	r.out--
+	p.inFlight = max(p.inFlight-1, 0)
+	w.open = slices.DeleteFunc(w.open, func(o *attempt) bool { return o == a })
+	a.ran = !slices.Contains([]Result{Refused, NoConnection, NotSent, Missed}, e.Result)
+	a.bad = e.Result != OK && e.Result != Missed && e.Result != NotSent
+	switch e.Result {
+	case OK:
+		d.alive(w)
+		d.learn(r, a, e)
+		p.warmTill, p.failures = max(p.warmTill, d.now+d.set.IdleKeep), 0
+	case Missed, Errored, Refused:
+		d.alive(w)
+		if e.Result == Missed {
+			p.warmTill = 0
+		}
+		if e.Warmth == LoadFailed {
+			d.loadFailed(p)
+		}
+	case NoConnection, Reset:
+		d.raise(w)
+	}
+	if e.Final {
+		d.close(r)
+	}
+	if r.done {
+		if r.out == 0 {
+			delete(d.reqs, r.ID)
+		}
+		return
+	}
+	switch {
+	case r.out > 0:
+	case d.now >= r.deadline:
+		d.conclude(r)
+	case e.Result == Missed && d.now >= p.restTill && w.State == On:
+		if !d.load(r.fn, w, 1, 1) && w.orders < pendingCap {
+			r.wanted = true
+			d.hold(r) // out of ration: another router may load it meanwhile
+			return
+		}
+		a.bad = p.ordered == 0
+		d.route(r)
+	case e.Result == Refused && len(r.attempts) >= 2:
+		r.wanted = true
+		d.hold(r)
+	default:
+		d.route(r)
+	}
+}
+
+// mayRun tells whether an attempt may have run or be running.
+func (r *request) mayRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return !a.ended || a.ran })
+}
+
+// learn takes an answer's time for the function's run time and the worker's slowness. An answer that may
+// have waited on a load tells neither.
+func (d *Dispatcher) learn(r *request, a *attempt, e Outcome) {
+	f := r.fn
+	f.answered = true
+	if d.set.TellsWarm && e.Warmth != FoundWarm || !d.set.TellsWarm && !a.warm {
+		return
+	}
+	off := math.Log(max(e.Took.Seconds(), 1e-4)/r.unit()) - f.run - a.w.slowness
+	off = min(max(off, -unitStep), unitStep)
+	f.run += runGain * off
+	a.w.slowness = min(max(a.w.slowness+workerGain*off, -1), 2.5)
+	if r.Work == 0 {
+		r.class.work += workerGain * (e.Took.Seconds() - r.class.work)
+	}
+}
+
+// close ends a request: second copies still out are called off.
+func (d *Dispatcher) close(r *request) {
+	r.done = true
+	if r.out == 0 {
+		delete(d.reqs, r.ID)
+		return
+	}
+	for _, a := range r.attempts {
+		if !a.ended && d.set.MayCancel {
+			d.act(Cancel{ID: r.ID, Attempt: a.n})
+		}
+	}
+}
+
+// Health ------------------------------------------------------------------------------------------------
+
+// alive takes a sign of life.
+func (d *Dispatcher) alive(w *worker) {
+	w.heard, w.doubted = d.now, false
+}
+
+// raise doubts a worker and has the requests out there looked at.
+func (d *Dispatcher) raise(w *worker) {
+	if w.doubted {
+		return
+	}
+	w.doubted, w.asked = true, d.now
+	for _, a := range w.open {
+		d.wakeAt(a.r, d.now)
+	}
+}
+
+// doubt tells whether a worker is silent for longer than chance allows: answers overdue are summed in
+// units of their expected time since it was last heard (an accrual failure detector). A doubted worker is
+// asked now and then; any answer clears it.
+func (d *Dispatcher) doubt(w *worker) bool {
+	if !w.doubted && len(w.open) > 0 {
+		phi := 0.0
+		for _, a := range w.open {
+			phi += (d.now - max(a.sent, w.heard)).Seconds() / max(a.expected, 0.02)
+		}
+		if phi > doubtPhi && d.now-max(w.heard, w.open[0].sent) > doubtAfter {
+			d.raise(w)
+		}
+	}
+	if w.doubted && d.now-w.asked >= askEvery && d.set.MayProbe {
+		w.asked = d.now
+		d.act(Probe{Worker: w.ID})
+	}
+	return w.doubted
+}
+
+// manyDoubted tells that half the fleet looks bad: then the trouble is the store, the list or this
+// router's own view, and passing workers over would only crowd the rest.
+func (d *Dispatcher) manyDoubted() bool {
+	sound := slices.DeleteFunc(slices.Clone(d.list), func(w *worker) bool { return w.doubted })
+	return 2*len(sound) < len(d.list)
+}
+
+// Guards ------------------------------------------------------------------------------------------------
+
+// maySend tells whether the rules let a request go to a worker now.
+func (d *Dispatcher) maySend(r *request, w *worker) bool {
+	if r.done || d.now >= r.deadline || len(r.attempts) >= d.set.MaxAttempts || w.State != On {
+		return false
+	}
+	if r.out > 0 && !d.set.SecondCopies {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.ended && !a.ran {
+			continue
+		}
+		switch r.class.Effect {
+		case Unsafe:
+			return false
+		case Keyed:
+			same := r.class.Scope == ScopeAll || r.class.Scope == ScopeZone && a.w.Zone == w.Zone ||
+				r.class.Scope == ScopeCell && a.w.Zone == w.Zone && a.w.Cell == w.Cell
+			if !same || d.now-a.sent >= r.class.Window-patienceMin {
+				return false
+			}
+		}
+	}
+	return d.coldRoom(w, r)
+}
+
+// coldRoom keeps this router's part of what a worker that has just started can take: its fair share of
+// this router's own work, scaled to the capacity that the worker surely has.
+func (d *Dispatcher) coldRoom(w *worker, r *request) bool {
+	if !w.cold {
+		return true
+	}
+	w.spent = slices.DeleteFunc(w.spent, func(s spend) bool { return s.at <= d.now-d.set.FallSpan })
+	sum := 0.0
+	for _, s := range w.spent {
+		sum += s.work
+	}
+	room := d.warmth(w) * d.workRate / float64(max(len(d.list), 1)) * d.set.FallSpan.Seconds()
+	return sum == 0 || sum+r.class.work <= room
+}
+
+// send is the gate of all attempts.
+func (d *Dispatcher) send(r *request, w *worker) {
+	if !d.maySend(r, w) {
+		return
+	}
+	p := r.fn.place(w)
+	a := &attempt{r: r, w: w, n: len(r.attempts), sent: d.now, warm: d.now < p.warmTill}
+	a.expected = math.Exp(r.fn.run+w.slowness) * r.unit()
+	if !a.warm && d.set.LoadsOnMiss {
+		a.expected += d.loadsIn(r.fn).Seconds()
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	r.wanted = false
+	p.inFlight++
+	w.open = append(w.open, a)
+	if w.cold {
+		w.spent = append(w.spent, spend{d.now, r.class.work})
+	}
+	d.act(Send{ID: r.ID, Worker: w.ID})
+	d.wakeAt(r, d.due(a))
+}
+
+// conclude is the gate of all final answers that are not served: a refusal where trying again is
+// harmless, a failure elsewhere.
+func (d *Dispatcher) conclude(r *request) {
+	if r.done {
+		return
+	}
+	if r.class.Effect == Safe || !r.mayRun() || r.class.Effect == Keyed && r.class.Scope == ScopeAll {
+		d.act(Refuse{ID: r.ID})
+	} else {
+		d.act(Fail{ID: r.ID})
+	}
+	d.close(r)
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,101 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/topazfront/topazfront/brain"
+)
+
+// settings reads the settings of a new instance. Keys that are not known are skipped.
+func settings(f *fields) brain.Settings {
+	s := brain.Settings{
+		Zone:           f.text("az", false),
+		Routers:        int(f.integer("balancers", false)),
+		OverShareWorth: f.number("over_share_worth", false),
+		ByWork:         f.text("worth_by", false) == "work",
+		LoadsOnMiss:    f.text("family_info.when_absent", false) == "load",
+		MayOrder:       f.bool("family_info.may_order"),
+		TellsWarm:      f.bool("family_info.tells_warm"),
+		TellsCompany:   f.bool("family_info.says_company"),
+		IdleKeep:       f.duration("family_info.linger_idle", false),
+		OrderTimeout:   f.duration("family_info.order_timeout", false),
+		LoadSpan:       f.duration("family_info.load_span", false),
+		LoadFree:       f.number("family_info.free_loads", false),
+		LoadRatio:      f.number("family_info.load_ratio", false),
+		MayCancel:      f.bool("limits.cancel"),
+		MayProbe:       f.bool("limits.may_probe"),
+		SecondCopies:   f.bool("limits.second_copies"),
+		MaxAttempts:    int(f.integer("limits.send_cap", false)),
+		AnswerGrace:    f.duration("safety.grace_to_answer", false),
+		DrainGrace:     f.duration("safety.drain_grace", false),
+		ColdShare:      f.number("safety.start_capacity", false),
+		ColdFor:        f.duration("safety.warm_within", false),
+		FallMultiple:   f.number("safety.overload_factor", false),
+		FallSpan:       f.duration("safety.fall", false),
+		MustAsk:        f.text("registry_mode", false) == "ask",
+		Prices: brain.Prices{
+			CrossZone:  f.number("deductions.cross_zone", false),
+			Waste:      f.number("deductions.waste", false),
+			Probe:      f.number("deductions.probe", false),
+			LateFail:   f.number("deductions.late_fail", false),
+			Fetch:      f.number("deductions.origin", false),
+			IdleMemory: f.number("family_info.idle_price", false),
+		},
+	}
+	if f.bool("limits.retry_after") {
+		s.MaxRetryAfter = f.duration("limits.max_retry_after", false)
+	}
+	switch f.text("feedback.how", false) {
+	case "piggyback":
+		s.Reports = brain.FromAnswers
+	case "pull":
+		s.Reports = brain.FromProbes
+	}
+	memory := list(f.text("family_info.kind_memory_mb", false))
+	for i, name := range list(f.text("host_types", false)) {
+		k := brain.Kind{Name: name}
+		if i < len(memory) {
+			v, err := strconv.ParseFloat(memory[i], 64)
+			if err != nil {
+				f.set(fmt.Errorf("family_info.kind_memory_mb: %q is not a number", memory[i]))
+			}
+			k.MemoryMB = v
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+	for i := range count(f, "classes.count") {
+		at := fmt.Sprintf("classes.%d.", i)
+		c := brain.Class{
+			Name:      f.text(at+"name", true),
+			Aim:       f.duration(at+"target", false),
+			Deadline:  f.duration(at+"deadline", false),
+			Worth:     f.number(at+"worth", false),
+			LateShare: f.number(at+"late_share", false),
+			Window:    f.duration(at+"window", false),
+			Effect: word(f, at+"semantics", map[string]brain.Effect{"read_like": brain.Safe,
+				"idempotency_key": brain.Keyed, "non_idempotent": brain.Unsafe}),
+		}
+		if c.Effect == brain.Keyed {
+			c.Scope = word(f, at+"dedup_scope", map[string]brain.Scope{"all": brain.ScopeAll,
+				"zone": brain.ScopeZone, "cell": brain.ScopeCell})
+		}
+		s.Classes = append(s.Classes, c)
+	}
+	for i := range count(f, "projects.count") {
+		at := fmt.Sprintf("projects.%d.", i)
+		s.Tenants = append(s.Tenants, brain.Tenant{Name: f.text(at+"name", true),
+			Quota: f.number(at+"quota_per_s", false), Share: f.number(at+"share", false)})
+	}
+	return s
+}
+
+// count reads how many objects a list holds; no list of the settings holds more than the pairs there are.
+func count(f *fields, name string) int {
+	n := f.integer(name, false)
+	if n < 0 || n > int64(len(f.pairs)) {
+		f.set(fmt.Errorf("%s=%d does not fit the line", name, n))
+		return 0
+	}
+	return int(n)
+}
