Windows of own attempts per worker, waiting at the router, newest first

Cause: bursts and overloads filled the workers' queues, so nearly every answer came late and refused attempts multiplied. Each worker now has a learned window of own attempts (grown by answers in time, cut by late ones and refusals); what does not fit waits here. Other symptoms it should hold for: hung and slow workers, which keep only what is out. It could hurt where a window is learned too small; the floor from the work rate is against that.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,6 +33,15 @@
 	patienceMin = 100 * time.Millisecond // and not before this has been added to it
 	hedgeShare  = 0.1                    // second copies and cancels, of the calls: no storm of them
 	hedgeBurst  = 10                     // second copies at once, enough for what one worker holds
+	wakeSlack   = time.Millisecond       // how exact wakes are
+	windowStart = 4.0                    // own attempts out at a worker before any are known to be too many
+	windowUp    = 0.1                    // growth for an answer in time while the window is in use,
+	windowDown  = 0.2                    // and loss for a late one: in balance when a third are late
+	lateAnswer  = 2                      // an answer is late for the window at this multiple of its run time
+	windowFloor = 1.5                    // least window, of what keeps this router's part of the cores busy
+	windowMin   = 2                      // and in attempts
+	lateShare   = 0.35                   // and no earlier than this share of the class's aim
+	windowCut   = 0.7                    // what a refusal leaves of the window
 	holdFor     = 30 * time.Millisecond  // first wait of a request with nowhere to go, doubled each time
 	failedFor   = 500 * time.Millisecond // first rest after a failed load, doubled each time
 	loadGuess   = 800 * time.Millisecond // a load's time before any is known
@@ -49,13 +58,9 @@
 	heard, asked  time.Duration // last sign of life, and last asked for one
 	slowness      float64       // log of its answer times over what they should be
 	orders        int           // own load orders out
-	spent         []spend       // sent of late while cold
+	spent         []*attempt    // sent of late while cold
 	slice         float64       // room left in the walk
-}
-
-type spend struct {
-	at   time.Duration
-	work float64
+	window        float64       // own attempts that may be out there
 }
 
 // function is what this router knows of one function.
@@ -84,7 +89,7 @@
 	inFlight, failures int
 	warmTill           time.Duration // a copy was seen or used, and stays until then
 	ordered, restTill  time.Duration // when the order now out was given, or 0; no orders until then
-	waiting            []RequestID
+	waiting            []*request
 }
 
 type class struct {
@@ -96,6 +101,7 @@
 	Request
 	fn           *function
 	class        *class
+	came         time.Duration
 	deadline     time.Duration
 	attempts     []*attempt
 	out, holds   int
@@ -106,6 +112,7 @@
 	r        *request
 	w        *worker
 	n        int
+	others   int // own attempts at the worker when it was sent
 	sent     time.Duration
 	expected float64 // seconds
 	warm     bool    // a copy was thought to stand there
@@ -145,6 +152,7 @@
 	order                 []*function // in order of first sight
 	reqs                  map[RequestID]*request
 	wakes                 []wake          // by time
+	held                  []*request      // those with nowhere to go for now
 	rate, work, workRate  float64         // own calls and seconds of work: a second, this round, a second
 	calls, orders         []time.Duration // within the span of the load ration
 	hedges, loadTime      float64         // second copies saved up; log of the load times seen
@@ -199,7 +207,11 @@
 			d.loaded(e)
 		case Probed:
 			if w := d.workers[e.Worker]; w != nil && e.Result == OK {
-				d.alive(w)
+				w.heard, w.doubted = d.now, false
+			}
+		case Woken:
+			if d.now > d.armed-wakeSlack {
+				d.armed = 0 // callers may round a Wake down
 			}
 		}
 	}
@@ -212,12 +224,13 @@
 	if d.now-d.lastRound >= roundEvery {
 		d.round()
 	}
+	d.retry()
 	next := d.lastRound + roundEvery
 	if len(d.wakes) > 0 {
 		next = min(next, d.wakes[0].at)
 	}
 	if d.armed <= d.now || next < d.armed {
-		d.armed = max(next, d.now+time.Millisecond)
+		d.armed = max(next, d.now+wakeSlack)
 		d.act(Wake{After: d.armed - d.now})
 	}
 	return d.out
@@ -236,24 +249,21 @@
 
 // changed follows the list. A worker with a fresh start is empty and cold, and what is out there is lost.
 func (d *Dispatcher) changed(e Roster) {
-	if e.Failed {
-		if d.set.MustAsk {
-			d.act(Watch{})
-		}
-		return
+	if e.Failed && d.set.MustAsk {
+		d.act(Watch{})
 	}
 	named := map[string]bool{}
 	for _, m := range e.Members {
 		named[m.ID] = true
 		w := d.workers[m.ID]
 		if w == nil {
-			w = &worker{}
+			w = &worker{window: windowStart}
 			d.workers[m.ID] = w
 		} else if m.Started > w.Started {
 			for _, f := range d.order {
 				delete(f.places, m.ID)
 			}
-			w = &worker{open: w.open, heard: d.now}
+			w = &worker{open: w.open, heard: d.now, window: windowStart}
 			d.workers[m.ID] = w
 			for _, a := range w.open {
 				a.w = w
@@ -264,7 +274,7 @@
 	}
 	d.list = d.list[:0:0]
 	for id, w := range d.workers {
-		if e.Whole && !named[id] {
+		if e.Whole && !e.Failed && !named[id] {
 			w.State = Gone
 		}
 		if w.State == On {
@@ -296,8 +306,7 @@
 	span := (d.now - d.lastRound).Seconds()
 	d.lastRound = d.now
 	d.workRate += rateGain * (d.work/span - d.workRate)
-	d.work = 0
-	d.rate = 0
+	d.work, d.rate = 0, 0
 	kept := d.order[:0]
 	for _, f := range d.order {
 		now := float64(f.calls) / span
@@ -312,12 +321,7 @@
 		kept = append(kept, f)
 	}
 	d.order = kept
-	mean := 0.0
-	for _, w := range d.list {
-		mean += w.slowness / float64(len(d.list))
-	}
 	for _, w := range d.list {
-		w.slowness -= mean
 		w.cold = w.cold && d.now-w.Started < d.set.ColdFor
 	}
 	d.walk()
@@ -362,13 +366,11 @@
 				f.split = append(f.split, part{w, take / f.demand})
 			}
 		}
-		if len(ranked) == 0 || f.demand <= 0 || left <= 1e-9 {
-			continue
-		}
-		if len(f.split) > 0 && f.split[0].w == ranked[0] {
+		if len(ranked) > 0 && left > 1e-9 {
+			if len(f.split) == 0 || f.split[0].w != ranked[0] {
+				f.split = slices.Insert(f.split, 0, part{ranked[0], 0})
+			}
 			f.split[0].share += left / f.demand
-		} else {
-			f.split = slices.Insert(f.split, 0, part{ranked[0], left / f.demand})
 		}
 	}
 }
@@ -414,17 +416,22 @@
 	}
 	many := d.manyDoubted()
 	var choice, second *worker
+	full, warmFull := false, false
 	for _, w := range order {
 		if !d.maySend(r, w) {
 			continue
 		}
 		p := f.place(w)
 		if d.doubt(w) && !many || r.failedAt(w) || d.now < p.restTill || d.stuck(f, p) {
-			if second == nil && !(r.failedAt(w) && r.out > 0) {
+			if second == nil && r.out == 0 {
 				second = w
 			}
 			continue
 		}
+		if float64(len(w.open)) >= w.window {
+			full, warmFull = true, warmFull || d.now < p.warmTill
+			continue
+		}
 		if d.now < p.warmTill {
 			if choice != nil && d.set.MayOrder {
 				d.load(f, choice, 1, 1)
@@ -435,8 +442,12 @@
 			choice = w
 		}
 	}
-	if choice == nil {
+	switch {
+	case choice == nil && !full:
 		return second
+	case choice != nil && warmFull && d.set.MayOrder:
+		d.load(f, choice, 1, holdReserve)
+		return nil // wait for the load or for room, whichever comes first
 	}
 	return choice
 }
@@ -502,15 +513,12 @@
 		return
 	}
 	if e.Result == OK || e.Result == Refused || e.Result == Errored {
-		d.alive(w)
+		w.heard, w.doubted = d.now, false
 	}
-	if f == nil {
-		return
+	if f == nil || f.place(w).ordered == 0 {
+		return // forgotten, or an order to an earlier life of the worker
 	}
 	p := f.place(w)
-	if p.ordered == 0 {
-		return // an ask, or an order to an earlier life of the worker
-	}
 	w.orders = max(w.orders-1, 0)
 	p.ordered = 0
 	if e.Result == OK || e.Copies > 0 {
@@ -521,13 +529,7 @@
 	} else {
 		d.loadFailed(p)
 	}
-	waiting := p.waiting
-	p.waiting = nil
-	for _, id := range waiting {
-		if r := d.reqs[id]; r != nil && r.wanted {
-			d.route(r)
-		}
-	}
+	d.held, p.waiting = append(d.held, p.waiting...), nil
 }
 
 // loadFailed rests a place, longer each time and never two routers in step: a store or a worker in
@@ -575,7 +577,7 @@
 		d.fns[e.Function] = f
 		d.order = append(d.order, f)
 	}
-	r := &request{Request: e, fn: f, class: c, deadline: d.now + max(e.Left, 0), wanted: true}
+	r := &request{Request: e, fn: f, class: c, came: d.now, deadline: d.now + max(e.Left, 0), wanted: true}
 	f.memory, f.lanes, f.load = max(e.MemoryMB, 1), float64(max(e.Lanes, 1)), e.LoadTime
 	f.calls++
 	f.called = d.now
@@ -611,73 +613,78 @@
 	w := d.pick(r)
 	if w == nil {
 		if r.out == 0 {
-			d.hold(r)
+			d.held = append(d.held, r)
 		}
 		return
 	}
 	if p := r.fn.place(w); p.ordered > 0 && d.now >= p.warmTill && !d.stuck(r.fn, p) {
-		p.waiting = append(p.waiting, r.ID)
+		p.waiting = append(p.waiting, r)
 		d.wakeAt(r, p.ordered+patience*d.loadsIn(r.fn)+2*patienceMin+time.Millisecond)
 		return
 	}
 	d.send(r, w)
 }
 
+// retry tries the held requests again, newest first: in an overload the oldest are lost already and would
+// take the rest with them. One of a function that finds no place speaks for the others of it.
+func (d *Dispatcher) retry() {
+	held := d.held
+	d.held = nil
+	slices.SortStableFunc(held, func(a, b *request) int { return cmp.Compare(b.came, a.came) })
+	stays := map[*function]bool{}
+	for _, r := range slices.Compact(held) {
+		switch n := len(d.held); {
+		case r.done || !r.wanted || r.out > 0:
+		case stays[r.fn] && len(r.attempts) == 0:
+			d.held = append(d.held, r)
+		default:
+			d.route(r)
+			stays[r.fn] = len(d.held) > n
+		}
+	}
+}
+
 // hold has a request wait a little, longer each time.
 func (d *Dispatcher) hold(r *request) {
 	d.wakeAt(r, d.now+holdFor<<min(r.holds, 5))
 	r.holds++
 }
 
-// look is a request's wake: its time is up, it waits for something, or an attempt may be overdue.
+// look is a request's wake: its time is up, it waits for something, or an attempt may be overdue. Then a
+// second copy is sent, or the attempt is taken back from a silent worker where two at once are not allowed.
+// It guards against workers that hang, stall, vanish or crawl; hedges are a small share of the calls, so a
+// slow fleet is not made slower by them.
 func (d *Dispatcher) look(r *request) {
 	switch {
 	case r.done:
+		return
 	case d.now >= r.deadline:
 		d.conclude(r)
+		return
 	case r.wanted && r.out == 0:
 		d.route(r)
-	default:
-		d.overdue(r)
-	}
-}
-
-// overdue sends a second copy of a request whose attempt takes longer than it should, or takes it back
-// from a silent worker where two at once are not allowed. It guards against workers that hang, stall,
-// vanish or crawl; hedges are a small share of the calls, so a slow fleet is not made slower by them.
-func (d *Dispatcher) overdue(r *request) {
-	if r.out != 1 || r.class.Effect == Unsafe || d.hedges < 1 {
 		return
-	}
-	i := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.ended })
-	a := r.attempts[i]
-	if due := d.due(a); d.now < due {
-		d.wakeAt(r, due)
-		return
-	}
-	if a.given {
+	case r.out != 1 || r.class.Effect == Unsafe || d.hedges < 1:
 		return
 	}
-	if d.set.SecondCopies {
+	a := r.attempts[slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.ended })]
+	due := a.sent + patienceMin + time.Duration(patience*a.expected*float64(time.Second))
+	switch n := len(r.attempts); {
+	case d.now < due:
+		d.wakeAt(r, due)
+	case a.given:
+	case d.set.SecondCopies:
 		a.given = true
-		n := len(r.attempts)
 		if d.route(r); len(r.attempts) > n {
 			d.hedges--
 		}
-		return
-	}
-	if d.set.MayCancel && d.doubt(a.w) && !d.manyDoubted() {
+	case d.set.MayCancel && d.doubt(a.w) && !d.manyDoubted():
 		a.given = true
 		d.hedges--
 		d.act(Cancel{ID: r.ID, Attempt: a.n})
-		return
+	default:
+		d.wakeAt(r, d.now+patienceMin)
 	}
-	d.wakeAt(r, d.now+patienceMin)
-}
-
-// due is when an attempt is overdue.
-func (d *Dispatcher) due(a *attempt) time.Duration {
-	return a.sent + patienceMin + time.Duration(patience*a.expected*float64(time.Second))
 }
 
 // ended takes the end of an attempt.
@@ -694,29 +701,25 @@
 	w.open = slices.DeleteFunc(w.open, func(o *attempt) bool { return o == a })
 	a.ran = !slices.Contains([]Result{Refused, NoConnection, NotSent, Missed}, e.Result)
 	a.bad = e.Result != OK && e.Result != Missed && e.Result != NotSent
+	if e.Result != TimedOut && e.Result != NotSent && e.Result != Cancelled {
+		w.heard, w.doubted = d.now, false
+	}
 	switch e.Result {
 	case OK:
-		d.alive(w)
 		d.learn(r, a, e)
 		p.warmTill, p.failures = max(p.warmTill, d.now+d.set.IdleKeep), 0
-	case Missed, Errored, Refused:
-		d.alive(w)
-		if e.Result == Missed {
-			p.warmTill = 0
-		}
-		if e.Warmth == LoadFailed {
-			d.loadFailed(p)
-		}
+	case Missed:
+		p.warmTill = 0
+	case Refused:
+		w.window = max(w.window*windowCut, d.windowFloor())
 	case NoConnection, Reset:
 		d.raise(w)
 	}
-	if e.Final {
-		d.close(r)
+	if e.Warmth == LoadFailed {
+		d.loadFailed(p)
 	}
-	if r.done {
-		if r.out == 0 {
-			delete(d.reqs, r.ID)
-		}
+	if e.Final || r.done {
+		d.close(r)
 		return
 	}
 	switch {
@@ -752,24 +755,35 @@
 	if d.set.TellsWarm && e.Warmth != FoundWarm || !d.set.TellsWarm && !a.warm {
 		return
 	}
+	took := e.Took.Seconds()
+	if late := lateAnswer * math.Exp(f.run) * r.unit(); took > max(late, r.class.Aim.Seconds()*lateShare) {
+		a.w.window = max(a.w.window-windowDown, d.windowFloor())
+	} else if float64(len(a.w.open)+1) > a.w.window/2 {
+		a.w.window += windowUp
+	}
 	off := math.Log(max(e.Took.Seconds(), 1e-4)/r.unit()) - f.run - a.w.slowness
 	off = min(max(off, -unitStep), unitStep)
-	f.run += runGain * off
+	f.run += runGain * off / float64(1+a.others)
 	a.w.slowness = min(max(a.w.slowness+workerGain*off, -1), 2.5)
 	if r.Work == 0 {
 		r.class.work += workerGain * (e.Took.Seconds() - r.class.work)
 	}
 }
 
+// windowFloor is the least window: with less, cores would idle while requests wait here.
+func (d *Dispatcher) windowFloor() float64 {
+	return max(windowMin, windowFloor*d.workRate/float64(max(len(d.list), 1)))
+}
+
 // close ends a request: second copies still out are called off.
 func (d *Dispatcher) close(r *request) {
-	r.done = true
 	if r.out == 0 {
 		delete(d.reqs, r.ID)
-		return
 	}
+	first := !r.done
+	r.done = true
 	for _, a := range r.attempts {
-		if !a.ended && d.set.MayCancel {
+		if first && !a.ended && d.set.MayCancel {
 			d.act(Cancel{ID: r.ID, Attempt: a.n})
 		}
 	}
@@ -777,11 +791,6 @@
 
 // Health ------------------------------------------------------------------------------------------------
 
-// alive takes a sign of life.
-func (d *Dispatcher) alive(w *worker) {
-	w.heard, w.doubted = d.now, false
-}
-
 // raise doubts a worker and has the requests out there looked at.
 func (d *Dispatcher) raise(w *worker) {
 	if w.doubted {
@@ -831,18 +840,11 @@
 		return false
 	}
 	for _, a := range r.attempts {
-		if a.ended && !a.ran {
-			continue
-		}
-		switch r.class.Effect {
-		case Unsafe:
+		same := r.class.Scope == ScopeAll || r.class.Scope == ScopeZone && a.w.Zone == w.Zone ||
+			r.class.Scope == ScopeCell && a.w.Cell == w.Cell
+		again := r.class.Effect == Safe || r.class.Effect == Keyed && same && d.now-a.sent < r.class.Window
+		if (!a.ended || a.ran) && !again {
 			return false
-		case Keyed:
-			same := r.class.Scope == ScopeAll || r.class.Scope == ScopeZone && a.w.Zone == w.Zone ||
-				r.class.Scope == ScopeCell && a.w.Zone == w.Zone && a.w.Cell == w.Cell
-			if !same || d.now-a.sent >= r.class.Window-patienceMin {
-				return false
-			}
 		}
 	}
 	return d.coldRoom(w, r)
@@ -854,10 +856,10 @@
 	if !w.cold {
 		return true
 	}
-	w.spent = slices.DeleteFunc(w.spent, func(s spend) bool { return s.at <= d.now-d.set.FallSpan })
+	w.spent = slices.DeleteFunc(w.spent, func(a *attempt) bool { return a.sent <= d.now-d.set.FallSpan })
 	sum := 0.0
-	for _, s := range w.spent {
-		sum += s.work
+	for _, a := range w.spent {
+		sum += a.r.class.work
 	}
 	room := d.warmth(w) * d.workRate / float64(max(len(d.list), 1)) * d.set.FallSpan.Seconds()
 	return sum == 0 || sum+r.class.work <= room
@@ -869,7 +871,7 @@
 		return
 	}
 	p := r.fn.place(w)
-	a := &attempt{r: r, w: w, n: len(r.attempts), sent: d.now, warm: d.now < p.warmTill}
+	a := &attempt{r: r, w: w, n: len(r.attempts), others: len(w.open), sent: d.now, warm: d.now < p.warmTill}
 	a.expected = math.Exp(r.fn.run+w.slowness) * r.unit()
 	if !a.warm && d.set.LoadsOnMiss {
 		a.expected += d.loadsIn(r.fn).Seconds()
@@ -880,10 +882,10 @@
 	p.inFlight++
 	w.open = append(w.open, a)
 	if w.cold {
-		w.spent = append(w.spent, spend{d.now, r.class.work})
+		w.spent = append(w.spent, a)
 	}
 	d.act(Send{ID: r.ID, Worker: w.ID})
-	d.wakeAt(r, d.due(a))
+	d.wakeAt(r, d.now+patienceMin)
 }
 
 // conclude is the gate of all final answers that are not served: a refusal where trying again is
