--- a/brain/api.go
+++ b/brain/api.go
@@ -270,6 +270,12 @@
 	Copies   int
 }
 
+// Unload has a worker drop its idle copies of a function, whoever uses them. It is not answered.
+type Unload struct {
+	Worker   string
+	Function string
+}
+
 // Probe examines a worker. It is answered by Probed.
 type Probe struct{ Worker string }
 
@@ -287,6 +293,7 @@
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (LoadOrder) action() {}
+func (Unload) action()    {}
 func (Probe) action()     {}
 func (Watch) action()     {}
 func (Wake) action()      {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,8 +38,7 @@
 	windowUp    = 0.1                    // growth for an answer in time while the window is in use,
 	windowDown  = 0.2                    // and loss for a late one: in balance when a third are late
 	lateAnswer  = 2                      // an answer is late for the window at this multiple of its run time
-	windowFloor = 1.5                    // least window, of what keeps this router's part of the cores busy
-	windowMin   = 2                      // and in attempts
+	windowMin   = 1                      // least window
 	lateShare   = 0.35                   // and no earlier than this share of the class's aim
 	windowCut   = 0.7                    // what a refusal leaves of the window
 	holdFor     = 30 * time.Millisecond  // first wait of a request with nowhere to go, doubled each time
@@ -70,6 +69,7 @@
 	load, called          time.Duration
 	calls                 int     // in this round
 	rate, longRate        float64 // own calls a second
+	rounds                float64 // since it was first called
 	run, unit             float64 // log of answer time over unit, and the mean unit, see request.unit
 	answered              bool
 	ranked                []*worker
@@ -105,7 +105,8 @@
 	deadline     time.Duration
 	attempts     []*attempt
 	out, holds   int
-	wanted, done bool // an attempt is called for; a final answer was given
+	unit         float64 // what its time is measured by: its hint, or a second where there is none
+	wanted, done bool    // an attempt is called for; a final answer was given
 }
 
 type attempt struct {
@@ -122,14 +123,6 @@
 	given    bool // given up on: overdue
 }
 
-// unit is what a request's time is measured by: its hint, or a second where there is none.
-func (r *request) unit() float64 {
-	if r.Work > 0 {
-		return r.Work.Seconds()
-	}
-	return 1
-}
-
 // wake is a moment at which a request is to be looked at again.
 type wake struct {
 	at time.Duration
@@ -307,25 +300,24 @@
 	d.lastRound = d.now
 	d.workRate += rateGain * (d.work/span - d.workRate)
 	d.work, d.rate = 0, 0
-	kept := d.order[:0]
-	for _, f := range d.order {
+	d.order = slices.DeleteFunc(d.order, func(f *function) bool {
 		now := float64(f.calls) / span
 		f.rate += rateGain * (now - f.rate)
-		f.longRate += slowGain * (now - f.longRate)
+		f.rounds++
+		f.longRate += max(slowGain, 1/f.rounds) * (now - f.longRate)
 		f.calls = 0
 		d.rate += f.rate
-		if d.now-f.called > forgetAfter {
-			delete(d.fns, f.key)
-			continue
+		if d.now-f.called <= forgetAfter {
+			return false
 		}
-		kept = append(kept, f)
-	}
-	d.order = kept
+		delete(d.fns, f.key)
+		return true
+	})
 	for _, w := range d.list {
 		w.cold = w.cold && d.now-w.Started < d.set.ColdFor
 	}
 	d.walk()
-	d.holdWarm()
+	d.tend()
 }
 
 // walk fills the workers' slices with the functions, lightest first.
@@ -390,8 +382,8 @@
 	if !w.cold || d.set.ColdFor == 0 {
 		return 1
 	}
-	age := float64(d.now-w.Started) / float64(d.set.ColdFor)
-	return min(max(d.set.ColdShare+(1-d.set.ColdShare)*age, d.set.ColdShare, 0.01), 1)
+	age := max(0, float64(d.now-w.Started)/float64(d.set.ColdFor))
+	return min(max(d.set.ColdShare+(1-d.set.ColdShare)*age, 0.01), 1)
 }
 
 // pick chooses where a request goes: in the split the worker with the fewest own requests in flight per
@@ -428,7 +420,7 @@
 			}
 			continue
 		}
-		if float64(len(w.open)) >= w.window {
+		if w.busy() >= w.window {
 			full, warmFull = true, warmFull || d.now < p.warmTill
 			continue
 		}
@@ -442,16 +434,26 @@
 			choice = w
 		}
 	}
-	switch {
-	case choice == nil && !full:
-		return second
-	case choice != nil && warmFull && d.set.MayOrder:
+	if choice != nil && warmFull && d.set.MayOrder {
 		d.load(f, choice, 1, holdReserve)
 		return nil // wait for the load or for room, whichever comes first
 	}
+	if choice == nil && !full {
+		return second
+	}
 	return choice
 }
 
+// busy is the number of own attempts at a worker that are not thought to wait on a load.
+func (w *worker) busy() (n float64) {
+	for _, a := range w.open {
+		if a.warm {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *request) failedAt(w *worker) bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.w == w && (a.bad || !a.ended) })
 }
@@ -509,13 +511,10 @@
 // loaded takes the answer to an order and lets the requests go that waited on it.
 func (d *Dispatcher) loaded(e Loaded) {
 	w, f := d.workers[e.Worker], d.fns[e.Function]
-	if w == nil {
-		return
-	}
-	if e.Result == OK || e.Result == Refused || e.Result == Errored {
+	if w != nil && (e.Result == OK || e.Result == Refused || e.Result == Errored) {
 		w.heard, w.doubted = d.now, false
 	}
-	if f == nil || f.place(w).ordered == 0 {
+	if w == nil || f == nil || f.place(w).ordered == 0 {
 		return // forgotten, or an order to an earlier life of the worker
 	}
 	p := f.place(w)
@@ -541,22 +540,30 @@
 	p.failures++
 }
 
-// holdWarm renews copies before they are dropped for idleness, where a call to come is worth more than
-// the memory that waits for it. A copy voided by a release comes back before it is called.
-func (d *Dispatcher) holdWarm() {
+// tend renews copies at a function's home before they are dropped for idleness, where a call to come is
+// worth more than the memory that waits for it; a copy voided by a release so comes back before it is
+// called. Where idle memory has a price, it lets go of what is not worth it and of what a split has left.
+func (d *Dispatcher) tend() {
 	if !d.set.MayOrder || d.rate <= 0 {
 		return
 	}
+	price := d.set.Prices.IdleMemory / max(d.allMemory, 1)
 	for _, f := range d.order {
-		if f.longRate/d.rate < d.set.Prices.IdleMemory*f.memory/max(d.allMemory, 1) || len(f.split) == 0 {
-			continue
-		}
-		w := f.split[0].w
-		p := f.place(w)
-		if w.doubted || p.inFlight > 0 || p.warmTill == 0 || p.warmTill-d.now > d.set.IdleKeep/2 {
-			continue
+		for _, w := range d.list {
+			p := f.places[w.ID]
+			if p == nil || w.doubted || d.now >= p.warmTill || p.ordered > 0 {
+				continue
+			}
+			in := slices.ContainsFunc(f.split, func(s part) bool { return s.w == w })
+			keep := in && f.longRate/d.rate >= price*f.memory
+			switch {
+			case price > 0 && p.inFlight == 0 && !keep:
+				d.act(Unload{Worker: w.ID, Function: f.key})
+				p.warmTill = 0
+			case keep && p.inFlight == 0 && p.warmTill-d.now < d.set.IdleKeep/2:
+				d.load(f, w, 1, holdReserve)
+			}
 		}
-		d.load(f, w, 1, holdReserve)
 	}
 }
 
@@ -570,24 +577,24 @@
 	}
 	f := d.fns[e.Function]
 	if f == nil {
-		f = &function{key: e.Function, places: map[string]*place{}, run: math.Log(runGuess.Seconds())}
-		if e.Work > 0 {
-			f.run = 0
-		}
+		f = &function{key: e.Function, places: map[string]*place{}}
 		d.fns[e.Function] = f
 		d.order = append(d.order, f)
 	}
-	r := &request{Request: e, fn: f, class: c, came: d.now, deadline: d.now + max(e.Left, 0), wanted: true}
+	r := &request{Request: e, fn: f, class: c, came: d.now, deadline: d.now + max(e.Left, 0), unit: 1, wanted: true}
 	f.memory, f.lanes, f.load = max(e.MemoryMB, 1), float64(max(e.Lanes, 1)), e.LoadTime
 	f.calls++
 	f.called = d.now
-	if f.unit == 0 {
-		f.unit = r.unit()
-	}
-	f.unit += runGain * (r.unit() - f.unit)
 	if e.Work > 0 {
-		c.work += workerGain * (e.Work.Seconds() - c.work)
+		r.unit = e.Work.Seconds()
+		c.work += workerGain * (r.unit - c.work)
 	}
+	if f.unit == 0 {
+		if f.unit = r.unit; e.Work == 0 {
+			f.run = math.Log(runGuess.Seconds())
+		}
+	}
+	f.unit += runGain * (r.unit - f.unit)
 	d.work += c.work
 	d.hedges = min(d.hedges+hedgeShare, hedgeBurst)
 	if d.set.LoadSpan > 0 {
@@ -600,9 +607,6 @@
 
 // route sends a request on, or has it wait for a load or for a worker.
 func (d *Dispatcher) route(r *request) {
-	if r.done {
-		return
-	}
 	r.wanted = true
 	if len(r.attempts) >= d.set.MaxAttempts || r.mayRun() && r.class.Effect == Unsafe {
 		if r.out == 0 {
@@ -711,7 +715,7 @@
 	case Missed:
 		p.warmTill = 0
 	case Refused:
-		w.window = max(w.window*windowCut, d.windowFloor())
+		w.window = max(w.window*windowCut, windowMin)
 	case NoConnection, Reset:
 		d.raise(w)
 	}
@@ -756,12 +760,12 @@
 		return
 	}
 	took := e.Took.Seconds()
-	if late := lateAnswer * math.Exp(f.run) * r.unit(); took > max(late, r.class.Aim.Seconds()*lateShare) {
-		a.w.window = max(a.w.window-windowDown, d.windowFloor())
-	} else if float64(len(a.w.open)+1) > a.w.window/2 {
+	if late := lateAnswer * math.Exp(f.run) * r.unit; took > max(late, r.class.Aim.Seconds()*lateShare) {
+		a.w.window = max(a.w.window-windowDown, windowMin)
+	} else if a.w.busy()+1 > a.w.window/2 {
 		a.w.window += windowUp
 	}
-	off := math.Log(max(e.Took.Seconds(), 1e-4)/r.unit()) - f.run - a.w.slowness
+	off := math.Log(max(e.Took.Seconds(), 1e-4)/r.unit) - f.run - a.w.slowness
 	off = min(max(off, -unitStep), unitStep)
 	f.run += runGain * off / float64(1+a.others)
 	a.w.slowness = min(max(a.w.slowness+workerGain*off, -1), 2.5)
@@ -770,11 +774,6 @@
 	}
 }
 
-// windowFloor is the least window: with less, cores would idle while requests wait here.
-func (d *Dispatcher) windowFloor() float64 {
-	return max(windowMin, windowFloor*d.workRate/float64(max(len(d.list), 1)))
-}
-
 // close ends a request: second copies still out are called off.
 func (d *Dispatcher) close(r *request) {
 	if r.out == 0 {
@@ -872,7 +871,7 @@
 	}
 	p := r.fn.place(w)
 	a := &attempt{r: r, w: w, n: len(r.attempts), others: len(w.open), sent: d.now, warm: d.now < p.warmTill}
-	a.expected = math.Exp(r.fn.run+w.slowness) * r.unit()
+	a.expected = math.Exp(r.fn.run+w.slowness) * r.unit
 	if !a.warm && d.set.LoadsOnMiss {
 		a.expected += d.loadsIn(r.fn).Seconds()
 	}
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,291 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+// settings are those of a fleet whose workers answer Miss; tests change what they are about.
+func settings() Settings {
+	return Settings{Routers: 1, MaxAttempts: 4, SecondCopies: true, MayCancel: true, MayOrder: true,
+		MayProbe: true, IdleKeep: 10 * time.Second, AnswerGrace: 16 * time.Millisecond,
+		Kinds: []Kind{{"big", 16000}, {"small", 8000}}, ColdShare: 0.2, ColdFor: 16 * time.Second,
+		FallMultiple: 3, FallSpan: 1500 * time.Millisecond,
+		Classes: []Class{
+			{Name: "safe", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Effect: Safe},
+			{Name: "once", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Effect: Unsafe},
+			{Name: "keyed", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Effect: Keyed,
+				Scope: ScopeCell, Window: 2 * time.Second},
+		}}
+}
+
+// rig drives one Dispatcher and has every step watched by the rule checker.
+type rig struct {
+	t     *testing.T
+	d     *Dispatcher
+	check *checker
+	now   time.Duration
+	next  RequestID
+}
+
+func newRig(t *testing.T, s Settings, ids ...string) *rig {
+	t.Helper()
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, d: d, check: newChecker(s), now: time.Second}
+	ms := []Member{}
+	for i, id := range ids {
+		ms = append(ms, Member{ID: id, Kind: "big", Cell: i / 2})
+	}
+	r.step(Roster{Whole: true, Members: ms})
+	return r
+}
+
+func (r *rig) step(events ...Event) []Action {
+	r.t.Helper()
+	out := r.d.Step(r.now, events)
+	if err := r.check.step(r.now, events, out); err != nil {
+		r.t.Fatal(err)
+	}
+	return out
+}
+
+// after lets time pass, waking the Dispatcher every 10 ms.
+func (r *rig) after(span time.Duration) (out []Action) {
+	r.t.Helper()
+	for end := r.now + span; r.now < end; {
+		r.now += 10 * time.Millisecond
+		out = append(out, r.step(Woken{})...)
+	}
+	return out
+}
+
+// call brings a new request of a function.
+func (r *rig) call(function, class string) (RequestID, []Action) {
+	r.t.Helper()
+	r.next++
+	return r.next, r.step(Request{ID: r.next, Function: function, Class: class, MemoryMB: 300, Lanes: 1,
+		Left: 3 * time.Second})
+}
+
+func all[T Action](actions []Action) (found []T) {
+	for _, a := range actions {
+		if x, ok := a.(T); ok {
+			found = append(found, x)
+		}
+	}
+	return found
+}
+
+func (r *rig) sent(actions []Action) Send {
+	r.t.Helper()
+	s := all[Send](actions)
+	if len(s) != 1 {
+		r.t.Fatalf("%d sends, want 1: %v", len(s), actions)
+	}
+	return s[0]
+}
+
+func TestRankingIsSharedAndFirstRankedServesBeforeTheFirstRound(t *testing.T) {
+	a, b := newRig(t, settings(), "w1", "w2", "w3", "w4"), newRig(t, settings(), "w4", "w3", "w2", "w1")
+	used := map[string]bool{}
+	for _, f := range []string{"f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8"} {
+		_, x := a.call(f, "safe")
+		_, y := b.call(f, "safe")
+		if a.sent(x).Worker != b.sent(y).Worker {
+			t.Errorf("%s: routers disagree", f)
+		}
+		used[a.sent(x).Worker] = true
+	}
+	if len(used) < 2 {
+		t.Error("all functions share one home")
+	}
+}
+
+func TestWalkFillsLightestFirstAndSpills(t *testing.T) {
+	r := newRig(t, settings(), "w1", "w2", "w3")
+	light := &function{key: "light", memory: 1, lanes: 1, unit: 1, rate: 1, answered: true, places: map[string]*place{}}
+	heavy := &function{key: "heavy", memory: 9, lanes: 1, unit: 1, rate: 1, answered: true, places: map[string]*place{}}
+	r.d.order = []*function{heavy, light}
+	r.d.walk()
+	if len(light.split) != 1 || light.split[0].w != light.ranked[0] {
+		t.Errorf("light split = %v, want its first-ranked worker alone", light.split)
+	}
+	if len(heavy.split) != 3 {
+		t.Errorf("heavy on %d workers, want all 3", len(heavy.split))
+	}
+	sum := 0.0
+	for _, p := range heavy.split {
+		sum += p.share
+	}
+	if sum < 0.999 || sum > 1.001 {
+		t.Errorf("shares sum to %v", sum)
+	}
+}
+
+func TestDemandFades(t *testing.T) {
+	r := newRig(t, settings(), "w1")
+	id, out := r.call("f", "safe")
+	r.step(Outcome{ID: id, Worker: r.sent(out).Worker, Took: 50 * time.Millisecond, Final: true})
+	r.after(3 * time.Second)
+	was := r.d.fns["f"].demand
+	r.after(8 * time.Second)
+	if now := r.d.fns["f"].demand; was <= 0 || now > was/2 {
+		t.Errorf("demand %v, then %v", was, now)
+	}
+}
+
+func TestMissOrdersOneLoadAndResends(t *testing.T) {
+	r := newRig(t, settings(), "w1", "w2")
+	id, out := r.call("f", "once")
+	w := r.sent(out).Worker
+	out = r.step(Outcome{ID: id, Worker: w, Result: Missed})
+	if o := all[LoadOrder](out); len(o) != 1 || o[0].Worker != w || o[0].Copies != 1 {
+		t.Fatalf("orders %v", o)
+	}
+	if _, out = r.call("f", "once"); len(all[LoadOrder](out)) != 0 {
+		t.Error("a load under way was ordered again")
+	}
+	r.now += 300 * time.Millisecond
+	out = r.step(Loaded{Worker: w, Function: "f", Copies: 1, Took: 300 * time.Millisecond})
+	if n := len(all[Send](out)); n != 2 {
+		t.Errorf("%d sends after the load, want both", n)
+	}
+}
+
+func TestUnsafeIsNotRepeatedAfterATimeOut(t *testing.T) {
+	for _, result := range []Result{TimedOut, Reset, Errored, Cancelled} {
+		r := newRig(t, settings(), "w1", "w2")
+		id, out := r.call("f", "once")
+		out = r.step(Outcome{ID: id, Worker: r.sent(out).Worker, Result: result})
+		if len(all[Fail](out)) != 1 || len(all[Send](out)) != 0 {
+			t.Errorf("result %d: %v, want a failure", result, out)
+		}
+	}
+}
+
+func TestUnsafeMovesOnAfterARefusal(t *testing.T) {
+	r := newRig(t, settings(), "w1", "w2")
+	id, out := r.call("f", "once")
+	w := r.sent(out).Worker
+	if r.sent(r.step(Outcome{ID: id, Worker: w, Result: Refused})).Worker == w {
+		t.Error("sent to the refusing worker again")
+	}
+}
+
+func TestKeyedStaysInItsCellAndWindow(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	r := newRig(t, s, "w1", "w2", "w3", "w4")
+	id, out := r.call("f", "keyed")
+	first := r.sent(out).Worker
+	again := r.sent(r.step(Outcome{ID: id, Worker: first, Result: Reset}))
+	if r.d.workers[again.Worker].Cell != r.d.workers[first].Cell || again.Worker == first {
+		t.Errorf("sent again to %s, first to %s", again.Worker, first)
+	}
+	r.now += 2 * time.Second
+	out = r.step(Outcome{ID: id, Attempt: 1, Worker: again.Worker, Result: Reset})
+	r.after(2 * time.Second)
+}
+
+func TestDrainStopsAtOnce(t *testing.T) {
+	r := newRig(t, settings(), "w1", "w2")
+	_, out := r.call("f", "safe")
+	w := r.sent(out).Worker
+	r.step(Roster{Members: []Member{{ID: w, State: Draining}}})
+	if _, out = r.call("f", "safe"); r.sent(out).Worker == w {
+		t.Error("sent to a draining worker")
+	}
+}
+
+func TestEveryRequestIsAnsweredInTimeWithNoWorkers(t *testing.T) {
+	r := newRig(t, settings())
+	r.call("f", "once")
+	if out := r.after(4 * time.Second); len(all[Refuse](out)) != 1 {
+		t.Errorf("%v, want one refusal", out)
+	}
+}
+
+// Incident i8c6ef0: a caller that rounds a Wake down had it come back early, and no other was asked for.
+func TestWakeRoundedDownIsAskedForAgain(t *testing.T) {
+	r := newRig(t, settings())
+	r.next++
+	out := r.step(Request{ID: r.next, Function: "f", Class: "safe", MemoryMB: 1, Lanes: 1, Left: 1500})
+	for range 40 {
+		w := all[Wake](out)
+		if len(w) == 0 {
+			break
+		}
+		r.now += w[len(w)-1].After.Truncate(time.Microsecond)
+		if out = r.step(Woken{}); len(all[Refuse](out)) > 0 {
+			return
+		}
+	}
+	t.Error("never answered")
+}
+
+func TestSilentWorkerIsPassedOverAndReturns(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	r := newRig(t, s, "w1", "w2", "w3")
+	id, out := r.call("f", "safe")
+	w := r.sent(out).Worker
+	r.step(Outcome{ID: id, Worker: w, Took: 50 * time.Millisecond, Final: true})
+	for range 4 {
+		r.call("f", "safe")
+	}
+	r.after(1500 * time.Millisecond)
+	if _, out = r.call("f", "safe"); r.sent(out).Worker == w {
+		t.Fatal("sent to a silent worker")
+	}
+	r.step(Probed{Worker: w})
+	if r.d.workers[w].doubted {
+		t.Error("still doubted after an answer")
+	}
+}
+
+func TestColdWorkerGetsItsPartOnly(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	r := newRig(t, s, "w1")
+	r.step(Roster{Whole: true, Members: []Member{{ID: "w1", Kind: "big", Started: r.now}}})
+	n := 0
+	for range 10 {
+		_, out := r.call("f", "safe")
+		n += len(all[Send](out))
+	}
+	if n != 1 {
+		t.Errorf("%d sends to a cold worker at once, want 1", n)
+	}
+}
+
+func TestLoadRation(t *testing.T) {
+	s := settings()
+	s.LoadSpan, s.LoadFree, s.LoadRatio = 5*time.Second, 2, 0.1
+	r := newRig(t, s, "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8")
+	n := 0
+	for _, f := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		id, out := r.call(f, "safe")
+		out = r.step(Outcome{ID: id, Worker: r.sent(out).Worker, Result: Missed})
+		n += len(all[LoadOrder](out))
+	}
+	if n != 2 {
+		t.Errorf("%d orders, want 2", n)
+	}
+}
+
+func TestUnusableSettings(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"no class":      func(s *Settings) { s.Classes = nil },
+		"no attempt":    func(s *Settings) { s.MaxAttempts = 0 },
+		"negative span": func(s *Settings) { s.ColdFor = -1 },
+	} {
+		s := settings()
+		change(&s)
+		if _, err := New(s, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
