--- a/brain/brain.go
+++ b/brain/brain.go
@@ -581,7 +581,7 @@
 		d.fns[e.Function] = f
 		d.order = append(d.order, f)
 	}
-	r := &request{Request: e, fn: f, class: c, came: d.now, deadline: d.now + max(e.Left, 0), unit: 1, wanted: true}
+	r := &request{Request: e, fn: f, class: c, came: d.now, deadline: d.now + max(e.Left, 0), unit: 1}
 	f.memory, f.lanes, f.load = max(e.MemoryMB, 1), float64(max(e.Lanes, 1)), e.LoadTime
 	f.calls++
 	f.called = d.now
