--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,8 @@
 	failedFor   = 500 * time.Millisecond // first rest after a failed load, doubled each time
 	loadGuess   = 800 * time.Millisecond // a load's time before any is known
 	runGuess    = 100 * time.Millisecond // a run's time before any is known
+	spillAfter  = 4                      // a wait of this part of the aim for a full copy has another loaded
+	holdCalls   = 0.5                    // calls to come while a copy idles that make holding it worthwhile
 	holdReserve = 0.5                    // of the load ration that holding warm leaves to misses
 	forgetAfter = 2 * time.Minute        // a function not called for so long is forgotten
 )
@@ -408,16 +410,21 @@
 	}
 	many := d.manyDoubted()
 	var choice, second *worker
-	full, warmFull := false, false
+	full, warmFull, resting := false, false, false
 	for _, w := range order {
 		if !d.maySend(r, w) {
 			continue
 		}
 		p := f.place(w)
 		if d.doubt(w) && !many || r.failedAt(w) || d.now < p.restTill || d.stuck(f, p) {
-			if second == nil && r.out == 0 {
+			if second == nil && r.out == 0 && d.now >= p.restTill {
 				second = w
 			}
+			resting = resting || d.now < p.restTill
+			continue
+		}
+		if p.ordered > 0 && d.now >= p.warmTill {
+			choice = cmp.Or(choice, w) // join the load under way
 			continue
 		}
 		if w.busy() >= w.window {
@@ -430,15 +437,17 @@
 			}
 			return w
 		}
-		if choice == nil && (p.ordered > 0 || w.orders < pendingCap) {
+		if choice == nil && w.orders < pendingCap {
 			choice = w
 		}
 	}
 	if choice != nil && warmFull && d.set.MayOrder {
-		d.load(f, choice, 1, holdReserve)
+		if d.now-r.came > r.class.Aim/spillAfter {
+			d.load(f, choice, 1, holdReserve)
+		}
 		return nil // wait for the load or for room, whichever comes first
 	}
-	if choice == nil && !full {
+	if choice == nil && !full && !resting {
 		return second
 	}
 	return choice
@@ -560,7 +569,8 @@
 			case price > 0 && p.inFlight == 0 && !keep:
 				d.act(Unload{Worker: w.ID, Function: f.key})
 				p.warmTill = 0
-			case keep && p.inFlight == 0 && p.warmTill-d.now < d.set.IdleKeep/2:
+			case keep && f.split[0].w == w && p.inFlight == 0 && p.warmTill-d.now < d.set.IdleKeep/2 &&
+				f.longRate*float64(d.set.Routers)*d.set.IdleKeep.Seconds() > holdCalls:
 				d.load(f, w, 1, holdReserve)
 			}
 		}
@@ -730,15 +740,9 @@
 	case r.out > 0:
 	case d.now >= r.deadline:
 		d.conclude(r)
-	case e.Result == Missed && d.now >= p.restTill && w.State == On:
-		if !d.load(r.fn, w, 1, 1) && w.orders < pendingCap {
-			r.wanted = true
-			d.hold(r) // out of ration: another router may load it meanwhile
-			return
-		}
-		a.bad = p.ordered == 0
+	case e.Result == Missed && d.load(r.fn, w, 1, 1):
 		d.route(r)
-	case e.Result == Refused && len(r.attempts) >= 2:
+	case e.Result == Missed && w.orders < pendingCap || e.Result == Refused && len(r.attempts) >= 2:
 		r.wanted = true
 		d.hold(r)
 	default:
