--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,6 @@
 	failedFor   = 500 * time.Millisecond // first rest after a failed load, doubled each time
 	loadGuess   = 800 * time.Millisecond // a load's time before any is known
 	runGuess    = 100 * time.Millisecond // a run's time before any is known
-	spillAfter  = 4                      // a wait of this part of the aim for a full copy has another loaded
 	holdCalls   = 0.5                    // calls to come while a copy idles that make holding it worthwhile
 	holdReserve = 0.5                    // of the load ration that holding warm leaves to misses
 	forgetAfter = 2 * time.Minute        // a function not called for so long is forgotten
@@ -442,9 +441,7 @@
 		}
 	}
 	if choice != nil && warmFull && d.set.MayOrder {
-		if d.now-r.came > r.class.Aim/spillAfter {
-			d.load(f, choice, 1, holdReserve)
-		}
+		d.load(f, choice, 1, holdReserve)
 		return nil // wait for the load or for room, whichever comes first
 	}
 	if choice == nil && !full && !resting {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -289,3 +289,57 @@
 		}
 	}
 }
+
+// The busy day big-1 of abuja-boxes: with a load refused, requests spent every attempt on misses within
+// milliseconds and were turned away.
+func TestMissesAtARestingPlaceDontSpendTheAttempts(t *testing.T) {
+	r := newRig(t, settings(), "w1")
+	id, out := r.call("f", "safe")
+	w := r.sent(out).Worker
+	r.step(Outcome{ID: id, Worker: w, Result: Missed})
+	out = r.step(Loaded{Worker: w, Function: "f", Result: Refused})
+	if n := len(all[Send](out)) + len(all[Refuse](out)); n != 0 {
+		t.Errorf("%v: nothing should be tried while the place rests", out)
+	}
+	if out = r.after(2 * time.Second); len(all[Send](out)) == 0 {
+		t.Error("not tried again after the rest")
+	}
+}
+
+func TestFullWindowWaitsHereAndNewestGoesFirst(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	r := newRig(t, s, "w1")
+	id, out := r.call("f", "safe")
+	r.step(Outcome{ID: id, Worker: r.sent(out).Worker, Took: 50 * time.Millisecond, Final: true})
+	var out1 RequestID
+	sends := 0
+	for range 8 {
+		r.now += time.Millisecond
+		id, out := r.call("f", "safe")
+		if n := len(all[Send](out)); n > 0 {
+			out1, sends = id, sends+n
+		}
+	}
+	if sends != int(windowStart) {
+		t.Fatalf("%d out, want the window of %v", sends, windowStart)
+	}
+	out = r.step(Outcome{ID: out1, Worker: "w1", Took: 60 * time.Millisecond, Final: true})
+	if got := all[Send](out); len(got) == 0 || got[0].ID != r.next {
+		t.Errorf("%v, want the newest, %d, first", got, r.next)
+	}
+}
+
+func TestFailedLoadsRestLongerEachTime(t *testing.T) {
+	r := newRig(t, settings(), "w1")
+	p := &place{}
+	last := time.Duration(0)
+	for range 3 {
+		r.d.loadFailed(p)
+		if rest := p.restTill - r.d.now; rest <= last {
+			t.Errorf("rest of %v after one of %v", rest, last)
+		} else {
+			last = rest
+		}
+	}
+}
