--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,11 +34,12 @@
 	hedgeShare  = 0.1                    // second copies and cancels, of the calls: no storm of them
 	hedgeBurst  = 10                     // second copies at once, enough for what one worker holds
 	wakeSlack   = time.Millisecond       // how exact wakes are
-	windowStart = 4.0                    // own attempts out at a worker before any are known to be too many
+	windowStart = 12.0                   // attempts out at a worker, of all routers, before any are too many
 	windowUp    = 0.1                    // growth for an answer in time while the window is in use,
 	windowDown  = 0.2                    // and loss for a late one: in balance when a third are late
 	lateAnswer  = 2                      // an answer is late for the window at this multiple of its run time
-	windowMin   = 1                      // least window
+	windowMin   = 3.0                    // least window, of all routers
+	reportAge   = 500 * time.Millisecond // a load report is stale after that
 	lateShare   = 0.35                   // and no earlier than this share of the class's aim
 	windowCut   = 0.7                    // what a refusal leaves of the window
 	holdFor     = 30 * time.Millisecond  // first wait of a request with nowhere to go, doubled each time
@@ -59,8 +60,9 @@
 	slowness      float64       // log of its answer times over what they should be
 	orders        int           // own load orders out
 	spent         []*attempt    // sent of late while cold
-	slice         float64       // room left in the walk
-	window        float64       // own attempts that may be out there
+	slice, window float64       // room left in the walk; own attempts that may be out there
+	load          float64       // requests that it last said to hold,
+	loadAt        time.Duration // and when
 }
 
 // function is what this router knows of one function.
@@ -111,17 +113,15 @@
 }
 
 type attempt struct {
-	r        *request
-	w        *worker
-	n        int
-	others   int // own attempts at the worker when it was sent
-	sent     time.Duration
-	expected float64 // seconds
-	warm     bool    // a copy was thought to stand there
-	ended    bool
-	ran      bool // may have run
-	bad      bool // not to be tried there again
-	given    bool // given up on: overdue
+	r         *request
+	w         *worker
+	n, others int // its number; own attempts at the worker when it was sent
+	sent      time.Duration
+	expected  float64 // seconds
+	warm      bool    // a copy was thought to stand there
+	ended     bool
+	ran, bad  bool // may have run; not to be tried there again
+	given     bool // given up on: overdue
 }
 
 // wake is a moment at which a request is to be looked at again.
@@ -251,13 +251,13 @@
 		named[m.ID] = true
 		w := d.workers[m.ID]
 		if w == nil {
-			w = &worker{window: windowStart}
+			w = &worker{window: windowStart / float64(d.set.Routers)}
 			d.workers[m.ID] = w
 		} else if m.Started > w.Started {
 			for _, f := range d.order {
 				delete(f.places, m.ID)
 			}
-			w = &worker{open: w.open, heard: d.now, window: windowStart}
+			w = &worker{open: w.open, heard: d.now, window: windowStart / float64(d.set.Routers)}
 			d.workers[m.ID] = w
 			for _, a := range w.open {
 				a.w = w
@@ -306,8 +306,7 @@
 		f.rate += rateGain * (now - f.rate)
 		f.rounds++
 		f.longRate += max(slowGain, 1/f.rounds) * (now - f.longRate)
-		f.calls = 0
-		d.rate += f.rate
+		f.calls, d.rate = 0, d.rate+f.rate
 		if d.now-f.called <= forgetAfter {
 			return false
 		}
@@ -416,8 +415,8 @@
 		}
 		p := f.place(w)
 		if d.doubt(w) && !many || r.failedAt(w) || d.now < p.restTill || d.stuck(f, p) {
-			if second == nil && r.out == 0 && d.now >= p.restTill {
-				second = w
+			if r.out == 0 && d.now >= p.restTill {
+				second = cmp.Or(second, w)
 			}
 			resting = resting || d.now < p.restTill
 			continue
@@ -426,7 +425,8 @@
 			choice = cmp.Or(choice, w) // join the load under way
 			continue
 		}
-		if w.busy() >= w.window {
+		reported := d.now-w.loadAt < reportAge && w.load >= 2*w.window*float64(d.set.Routers)
+		if w.busy() >= max(w.window, 1) || reported {
 			full, warmFull = true, warmFull || d.now < p.warmTill
 			continue
 		}
@@ -436,15 +436,14 @@
 			}
 			return w
 		}
-		if choice == nil && w.orders < pendingCap {
-			choice = w
+		if w.orders < pendingCap {
+			choice = cmp.Or(choice, w)
 		}
 	}
 	if choice != nil && warmFull && d.set.MayOrder {
 		d.load(f, choice, 1, holdReserve)
 		return nil // wait for the load or for room, whichever comes first
-	}
-	if choice == nil && !full && !resting {
+	} else if choice == nil && !full && !resting {
 		return second
 	}
 	return choice
@@ -524,8 +523,7 @@
 		return // forgotten, or an order to an earlier life of the worker
 	}
 	p := f.place(w)
-	w.orders = max(w.orders-1, 0)
-	p.ordered = 0
+	w.orders, p.ordered = max(w.orders-1, 0), 0
 	if e.Result == OK || e.Copies > 0 {
 		if e.Took > 20*time.Millisecond {
 			d.loadTime += runGain * (math.Log(e.Took.Seconds()) - d.loadTime)
@@ -590,8 +588,7 @@
 	}
 	r := &request{Request: e, fn: f, class: c, came: d.now, deadline: d.now + max(e.Left, 0), unit: 1}
 	f.memory, f.lanes, f.load = max(e.MemoryMB, 1), float64(max(e.Lanes, 1)), e.LoadTime
-	f.calls++
-	f.called = d.now
+	f.calls, f.called = f.calls+1, d.now
 	if e.Work > 0 {
 		r.unit = e.Work.Seconds()
 		c.work += workerGain * (r.unit - c.work)
@@ -710,6 +707,9 @@
 	r.out--
 	p.inFlight = max(p.inFlight-1, 0)
 	w.open = slices.DeleteFunc(w.open, func(o *attempt) bool { return o == a })
+	if e.Load.InFlight >= 0 && !d.set.LoadsOnMiss { // else it counts what waits on loads
+		w.load, w.loadAt = e.Load.InFlight, d.now
+	}
 	a.ran = !slices.Contains([]Result{Refused, NoConnection, NotSent, Missed}, e.Result)
 	a.bad = e.Result != OK && e.Result != Missed && e.Result != NotSent
 	if e.Result != TimedOut && e.Result != NotSent && e.Result != Cancelled {
@@ -722,7 +722,7 @@
 	case Missed:
 		p.warmTill = 0
 	case Refused:
-		w.window = max(w.window*windowCut, windowMin)
+		w.window = max(w.window*windowCut, windowMin/float64(d.set.Routers))
 	case NoConnection, Reset:
 		d.raise(w)
 	}
@@ -762,7 +762,7 @@
 	}
 	took := e.Took.Seconds()
 	if late := lateAnswer * math.Exp(f.run) * r.unit; took > max(late, r.class.Aim.Seconds()*lateShare) {
-		a.w.window = max(a.w.window-windowDown, windowMin)
+		a.w.window = max(a.w.window-windowDown, windowMin/float64(d.set.Routers))
 	} else if a.w.busy()+1 > a.w.window/2 {
 		a.w.window += windowUp
 	}
@@ -891,12 +891,12 @@
 // conclude is the gate of all final answers that are not served: a refusal where trying again is
 // harmless, a failure elsewhere.
 func (d *Dispatcher) conclude(r *request) {
-	if r.done {
+	switch {
+	case r.done:
 		return
-	}
-	if r.class.Effect == Safe || !r.mayRun() || r.class.Effect == Keyed && r.class.Scope == ScopeAll {
+	case r.class.Effect == Safe || !r.mayRun() || r.class.Effect == Keyed && r.class.Scope == ScopeAll:
 		d.act(Refuse{ID: r.ID})
-	} else {
+	default:
 		d.act(Fail{ID: r.ID})
 	}
 	d.close(r)
