--- a/brain/brain.go
+++ b/brain/brain.go
@@ -538,10 +538,8 @@
 // loadFailed rests a place, longer each time and never two routers in step: a store or a worker in
 // trouble is not stormed.
 func (d *Dispatcher) loadFailed(p *place) {
-	p.warmTill = 0
 	rest := float64(failedFor) * math.Exp2(float64(min(p.failures, 4))) * (0.75 + d.rng.Float64()/2)
-	p.restTill = d.now + time.Duration(rest)
-	p.failures++
+	p.warmTill, p.restTill, p.failures = 0, d.now+time.Duration(rest), p.failures+1
 }
 
 // tend renews copies at a function's home before they are dropped for idleness, where a call to come is
@@ -722,7 +720,11 @@
 	case Missed:
 		p.warmTill = 0
 	case Refused:
-		w.window = max(w.window*windowCut, windowMin/float64(d.set.Routers))
+		if a.warm {
+			w.window = max(w.window*windowCut, windowMin/float64(d.set.Routers))
+		} else {
+			d.loadFailed(p) // no room for a load, more likely than a full queue
+		}
 	case NoConnection, Reset:
 		d.raise(w)
 	}
@@ -780,10 +782,10 @@
 	if r.out == 0 {
 		delete(d.reqs, r.ID)
 	}
-	first := !r.done
+	first := !r.done && d.set.MayCancel
 	r.done = true
 	for _, a := range r.attempts {
-		if first && !a.ended && d.set.MayCancel {
+		if first && !a.ended {
 			d.act(Cancel{ID: r.ID, Attempt: a.n})
 		}
 	}
--- /dev/null
+++ b/brain/fuzz_test.go
@@ -0,0 +1,80 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// FuzzStep plays odd but legal sequences, read off the bytes, under the rule checker.
+func FuzzStep(f *testing.F) {
+	f.Add([]byte("\x00\x10\x20\x31\x05\x42\x07\x53\x11\x64\x99\x02\x31\x44\x17\x2a"))
+	f.Add([]byte("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > 2000 {
+			return
+		}
+		s := settings()
+		s.DrainGrace = 100 * time.Millisecond
+		if len(data) > 0 {
+			s.SecondCopies, s.LoadsOnMiss = data[0]&1 == 0, data[0]&2 == 0
+			if data[0]&4 == 0 {
+				s.LoadSpan, s.LoadFree, s.LoadRatio = 5*time.Second, 2, 0.1
+			}
+		}
+		r := newRig(t, s, "w0", "w1", "w2", "w3")
+		type sent struct {
+			id RequestID
+			n  int
+			w  string
+		}
+		var open []sent
+		tries := map[RequestID]int{}
+		final := map[RequestID]bool{}
+		for i := 0; i+1 < len(data); i += 2 {
+			op, x := data[i]%8, int(data[i+1])
+			r.now += time.Duration(data[i]/8) * 5 * time.Millisecond
+			var out []Action
+			switch w := fmt.Sprintf("w%d", x%5); op {
+			case 0, 1:
+				class := []string{"safe", "once", "keyed", "unheard of"}[x%4]
+				_, out = r.call(fmt.Sprintf("f%d", x/4%6), class)
+			case 2, 3, 4:
+				if len(open) == 0 {
+					continue
+				}
+				k := x % len(open)
+				a := open[k]
+				open = append(open[:k], open[k+1:]...)
+				res := Result(x / 8 % 9)
+				final[a.id] = final[a.id] || res == OK
+				out = r.step(Outcome{ID: a.id, Attempt: a.n, Worker: a.w, Result: res, Final: final[a.id],
+					Took: 30 * time.Millisecond, Warmth: Warmth(x % 5), Load: NoLoad})
+			case 5:
+				out = r.step(Loaded{Worker: w, Function: fmt.Sprintf("f%d", x%7), Result: Result(x / 8 % 8)})
+			case 6:
+				m := Member{ID: w, Kind: "small", Cell: x % 5 / 2, State: State(x / 5 % 3)}
+				if x > 200 {
+					m.Started = r.now
+				}
+				out = r.step(Roster{Whole: x == 77, Members: []Member{m}})
+			case 7:
+				id := RequestID(x) % (r.next + 1)
+				final[id] = true
+				out = r.step(Dropped{ID: id}, Probed{Worker: w, Result: Result(x % 9)})
+			}
+			for out = append(out, r.after(10*time.Millisecond)...); len(out) > 0; out = out[1:] {
+				switch a := out[0].(type) {
+				case Send:
+					open = append(open, sent{a.ID, tries[a.ID], a.Worker})
+					tries[a.ID]++
+				case Refuse:
+					final[a.ID] = true
+				case Fail:
+					final[a.ID] = true
+				}
+			}
+		}
+		r.after(4 * time.Second) // whatever is left is answered
+	})
+}
