Held requests that can still be in time go first

Judged by expected run time from the cost hint, so it holds for any slow function; it could hurt a class whose late answers are worth nearly as much.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -313,9 +313,6 @@
 		delete(d.fns, f.key)
 		return true
 	})
-	for _, w := range d.list {
-		w.cold = w.cold && d.now-w.Started < d.set.ColdFor
-	}
 	d.walk()
 	d.tend()
 }
@@ -337,6 +334,7 @@
 		return cmp.Or(cmp.Compare(a.demand, b.demand), cmp.Compare(a.key, b.key))
 	})
 	for _, w := range d.list {
+		w.cold = w.cold && d.now-w.Started < d.set.ColdFor
 		w.slice = d.trust(w) * max(d.memory[w.Kind], 1)
 		room += w.slice
 		d.allMemory += d.memory[w.Kind]
@@ -546,18 +544,15 @@
 // worth more than the memory that waits for it; a copy voided by a release so comes back before it is
 // called. Where idle memory has a price, it lets go of what is not worth it and of what a split has left.
 func (d *Dispatcher) tend() {
-	if !d.set.MayOrder || d.rate <= 0 {
-		return
-	}
 	price := d.set.Prices.IdleMemory / max(d.allMemory, 1)
 	for _, f := range d.order {
 		for _, w := range d.list {
 			p := f.places[w.ID]
-			if p == nil || w.doubted || d.now >= p.warmTill || p.ordered > 0 {
+			if p == nil || !d.set.MayOrder || w.doubted || d.now >= p.warmTill || p.ordered > 0 {
 				continue
 			}
 			in := slices.ContainsFunc(f.split, func(s part) bool { return s.w == w })
-			keep := in && f.longRate/d.rate >= price*f.memory
+			keep := in && f.longRate >= d.rate*price*f.memory
 			switch {
 			case price > 0 && p.inFlight == 0 && !keep:
 				d.act(Unload{Worker: w.ID, Function: f.key})
@@ -631,12 +626,20 @@
 	d.send(r, w)
 }
 
-// retry tries the held requests again, newest first: in an overload the oldest are lost already and would
-// take the rest with them. One of a function that finds no place speaks for the others of it.
+// retry tries the held requests again, those first that can be in time, newest first: in an overload the
+// rest are lost already and would take others with them. One that finds no place speaks for its function.
 func (d *Dispatcher) retry() {
 	held := d.held
 	d.held = nil
-	slices.SortStableFunc(held, func(a, b *request) int { return cmp.Compare(b.came, a.came) })
+	late := func(r *request) int { // 1 for one that can't be in time any more, by its expected run time
+		if (d.now-r.came).Seconds()+math.Exp(r.fn.run)*r.unit > r.class.Aim.Seconds() {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(held, func(a, b *request) int {
+		return cmp.Or(late(a)-late(b), cmp.Compare(b.came, a.came))
+	})
 	stays := map[*function]bool{}
 	for _, r := range slices.Compact(held) {
 		switch n := len(d.held); {
@@ -855,16 +858,13 @@
 // coldRoom keeps this router's part of what a worker that has just started can take: its fair share of
 // this router's own work, scaled to the capacity that the worker surely has.
 func (d *Dispatcher) coldRoom(w *worker, r *request) bool {
-	if !w.cold {
-		return true
-	}
 	w.spent = slices.DeleteFunc(w.spent, func(a *attempt) bool { return a.sent <= d.now-d.set.FallSpan })
 	sum := 0.0
 	for _, a := range w.spent {
 		sum += a.r.class.work
 	}
 	room := d.warmth(w) * d.workRate / float64(max(len(d.list), 1)) * d.set.FallSpan.Seconds()
-	return sum == 0 || sum+r.class.work <= room
+	return !w.cold || sum == 0 || sum+r.class.work <= room
 }
 
 // send is the gate of all attempts.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -343,3 +343,26 @@
 		}
 	}
 }
+
+// Heavy-tailed days of abuja-boxes: what can't be in time any more took the room of what still could.
+func TestHeldRequestsThatCanBeInTimeGoFirst(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss, s.Routers = true, 12 // a window of one
+	r := newRig(t, s, "w1")
+	bring := func(id RequestID, work time.Duration) []Action {
+		r.now += time.Millisecond
+		return r.step(Request{ID: id, Function: "f", Class: "safe", MemoryMB: 300, Lanes: 1, Work: work,
+			Left: 3 * time.Second})
+	}
+	bring(1, 50*time.Millisecond)
+	r.step(Outcome{ID: 1, Worker: "w1", Took: 50 * time.Millisecond, Final: true})
+	r.d.workers["w1"].window = 1
+	bring(2, 50*time.Millisecond)
+	bring(3, 50*time.Millisecond)
+	bring(4, 2*time.Second)
+	r.d.workers["w1"].window = 1
+	out := r.step(Outcome{ID: 2, Worker: "w1", Took: 50 * time.Millisecond, Final: true})
+	if got := all[Send](out); len(got) == 0 || got[0].ID != 3 {
+		t.Errorf("%v, want 3 first: 4 can't be in time", got)
+	}
+}
