--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,7 +37,7 @@
 	windowStart = 12.0                   // attempts out at a worker, of all routers, before any are too many
 	windowUp    = 0.1                    // growth for an answer in time while the window is in use,
 	windowDown  = 0.2                    // and loss for a late one: in balance when a third are late
-	lateAnswer  = 2                      // an answer is late for the window at this multiple of its run time
+	lateAnswer  = 1.5                    // an answer is late for the window at this multiple of its run time
 	windowMin   = 3.0                    // least window, of all routers
 	reportAge   = 500 * time.Millisecond // a load report is stale after that
 	lateShare   = 0.35                   // and no earlier than this share of the class's aim
