--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,7 +40,7 @@
 	lateAnswer  = 1.5                    // an answer is late for the window at this multiple of its run time
 	windowMin   = 3.0                    // least window, of all routers
 	reportAge   = 500 * time.Millisecond // a load report is stale after that
-	lateShare   = 0.35                   // and no earlier than this share of the class's aim
+	lateShare   = 0.25                   // and no earlier than this share of the class's aim
 	windowCut   = 0.7                    // what a refusal leaves of the window
 	holdFor     = 30 * time.Millisecond  // first wait of a request with nowhere to go, doubled each time
 	failedFor   = 500 * time.Millisecond // first rest after a failed load, doubled each time
