Unloads thinned to one router of all in a round; a worker is hashed once for a ranking

Cause: an unload drops the copies of every router, and each of 130 routers unloads what its own split has left: 0.27 unloads for each answer on big-1.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,6 +55,7 @@
 type worker struct {
 	Member
 	cold, doubted bool
+	score         uint64        // in the ranking that is being made
 	open          []*attempt    // own attempts out, oldest first
 	heard, asked  time.Duration // last sign of life, and last asked for one
 	slowness      float64       // log of its answer times over what they should be
@@ -289,9 +290,11 @@
 	if f.rankedAt == d.roster && f.ranked != nil {
 		return f.ranked
 	}
-	hash := func(w *worker) uint64 { return xxhash.Sum64String(f.key + "\x00" + w.ID) }
+	for _, w := range d.list {
+		w.score = xxhash.Sum64String(f.key + "\x00" + w.ID)
+	}
 	f.ranked, f.rankedAt = slices.Clone(d.list), d.roster
-	slices.SortStableFunc(f.ranked, func(a, b *worker) int { return cmp.Compare(hash(b), hash(a)) })
+	slices.SortStableFunc(f.ranked, func(a, b *worker) int { return cmp.Compare(b.score, a.score) })
 	return f.ranked
 }
 
@@ -542,7 +545,8 @@
 
 // tend renews copies at a function's home before they are dropped for idleness, where a call to come is
 // worth more than the memory that waits for it; a copy voided by a release so comes back before it is
-// called. Where idle memory has a price, it lets go of what is not worth it and of what a split has left.
+// called. Where idle memory has a price, it lets go of what is not worth it and of what a split has left,
+// one router of all in a round: an unload drops the copies of the others too.
 func (d *Dispatcher) tend() {
 	price := d.set.Prices.IdleMemory / max(d.allMemory, 1)
 	for _, f := range d.order {
@@ -554,7 +558,7 @@
 			in := slices.ContainsFunc(f.split, func(s part) bool { return s.w == w })
 			keep := in && f.longRate >= d.rate*price*f.memory
 			switch {
-			case price > 0 && p.inFlight == 0 && !keep:
+			case price > 0 && p.inFlight == 0 && !keep && d.rng.IntN(d.set.Routers) == 0:
 				d.act(Unload{Worker: w.ID, Function: f.key})
 				p.warmTill = 0
 			case keep && f.split[0].w == w && p.inFlight == 0 && p.warmTill-d.now < d.set.IdleKeep/2 &&
@@ -653,12 +657,6 @@
 	}
 }
 
-// hold has a request wait a little, longer each time.
-func (d *Dispatcher) hold(r *request) {
-	d.wakeAt(r, d.now+holdFor<<min(r.holds, 5))
-	r.holds++
-}
-
 // look is a request's wake: its time is up, it waits for something, or an attempt may be overdue. Then a
 // second copy is sent, or the attempt is taken back from a silent worker where two at once are not allowed.
 // It guards against workers that hang, stall, vanish or crawl; hedges are a small share of the calls, so a
@@ -745,8 +743,8 @@
 	case e.Result == Missed && d.load(r.fn, w, 1, 1):
 		d.route(r)
 	case e.Result == Missed && w.orders < pendingCap || e.Result == Refused && len(r.attempts) >= 2:
-		r.wanted = true
-		d.hold(r)
+		r.wanted, r.holds = true, r.holds+1 // wait a little, longer each time
+		d.wakeAt(r, d.now+holdFor<<min(r.holds-1, 5))
 	default:
 		d.route(r)
 	}
