Cold budget saved up over time from a seeded phase; a restarted worker keeps its place in the splits

Cause: each router's first send to a cold worker was free, 160 of them at once; and a roster change in the same batch as a round left splits that held the worker's earlier life, which is not cold. It hurts a router with few calls: its few sends wait for others' turns.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -60,7 +60,8 @@
 	heard, asked  time.Duration // last sign of life, and last asked for one
 	slowness      float64       // log of its answer times over what they should be
 	orders        int           // own load orders out
-	spent         []*attempt    // sent of late while cold
+	saved         float64       // work that may be sent there while it is cold,
+	savedAt       time.Duration // and when that was reckoned
 	slice, window float64       // room left in the walk; own attempts that may be out there
 	load          float64       // requests that it last said to hold,
 	loadAt        time.Duration // and when
@@ -258,14 +259,12 @@
 			for _, f := range d.order {
 				delete(f.places, m.ID)
 			}
-			w = &worker{open: w.open, heard: d.now, window: windowStart / float64(d.set.Routers)}
-			d.workers[m.ID] = w
-			for _, a := range w.open {
-				a.w = w
-			}
+			*w = worker{open: w.open, heard: d.now, window: windowStart / float64(d.set.Routers)}
 		}
 		w.Member = m
-		w.cold = m.Started > 0 && d.now-m.Started < d.set.ColdFor
+		if cold := m.Started > 0 && d.now-m.Started < d.set.ColdFor; cold != w.cold {
+			w.cold, w.saved, w.savedAt = cold, -d.rng.Float64()*d.meanWork(), d.now
+		}
 	}
 	d.list = d.list[:0:0]
 	for id, w := range d.workers {
@@ -850,21 +849,22 @@
 			return false
 		}
 	}
-	return d.coldRoom(w, r)
+	return d.coldRoom(w)
 }
 
-// coldRoom keeps this router's part of what a worker that has just started can take: its fair share of
-// this router's own work, scaled to the capacity that the worker surely has.
-func (d *Dispatcher) coldRoom(w *worker, r *request) bool {
-	w.spent = slices.DeleteFunc(w.spent, func(a *attempt) bool { return a.sent <= d.now-d.set.FallSpan })
-	sum := 0.0
-	for _, a := range w.spent {
-		sum += a.r.class.work
-	}
-	room := d.warmth(w) * d.workRate / float64(max(len(d.list), 1)) * d.set.FallSpan.Seconds()
-	return !w.cold || sum == 0 || sum+r.class.work <= room
+// coldRoom keeps this router's part of what a worker that has just started can take: its fair share of this
+// router's own work, scaled to the capacity that the worker surely has. The part of one of many routers is far
+// less than a request, so it is saved up from a seeded phase; the routers then send one after another.
+func (d *Dispatcher) coldRoom(w *worker) bool {
+	rate := d.warmth(w) * d.workRate / float64(max(len(d.list), 1))
+	w.saved = min(w.saved+rate*(d.now-w.savedAt).Seconds(), rate*d.set.FallSpan.Seconds())
+	w.savedAt = d.now
+	return !w.cold || w.saved > 0
 }
 
+// meanWork is the seconds of work of a usual request here.
+func (d *Dispatcher) meanWork() float64 { return max(d.workRate/max(d.rate, 1e-9), runGuess.Seconds()) }
+
 // send is the gate of all attempts.
 func (d *Dispatcher) send(r *request, w *worker) {
 	if !d.maySend(r, w) {
@@ -881,9 +881,7 @@
 	r.wanted = false
 	p.inFlight++
 	w.open = append(w.open, a)
-	if w.cold {
-		w.spent = append(w.spent, a)
-	}
+	w.saved -= r.class.work
 	d.act(Send{ID: r.ID, Worker: w.ID})
 	d.wakeAt(r, d.now+patienceMin)
 }
