Many routers: drawn picks, longer memory, slowness by kind, crowding by reports, resting classes; no second copies

Tests for the draw, the resting class and the reports. The reports hurt where requests are held for long anyway; a class may rest for an error of the request's own.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"iter"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -17,29 +18,29 @@
 )
 
 const (
-	roundEvery  = 2 * time.Second        // a round of the design page; short enough to follow a burst
-	surplus     = 0.2                    // epsilon: room beyond the demand, as the paper assumes
-	unanswered  = 0.1                    // instances that a function counts until it has answered
-	pendingCap  = 4                      // own load orders at one worker before the next is tried
-	rateGain    = 0.3                    // weight of the newest round in a rate: some 6 s of memory
-	slowGain    = 0.06                   // the same for its long rate, which tells whether to hold it: 30 s
-	runGain     = 0.1                    // weight of one answer in a function's run time
-	workerGain  = 0.06                   // weight of one answer in a worker's slowness: ten answers tell half
+	roundEvery  = 2 * time.Second // a round of the design page; short enough to follow a burst
+	surplus     = 0.2             // epsilon: room beyond the demand, as the paper assumes
+	unanswered  = 0.1             // instances that a function counts until it has answered
+	pendingCap  = 4               // own load orders at one worker before the next is tried
+	rateGain    = 0.3             // weight of the newest round in a rate: some 6 s of memory
+	perWorker   = 3.0             // calls remembered for each worker, at the least
+	runGain     = 0.1             // weight of one answer in a function's run time
+	workerGain  = 0.06            // weight of one answer in a worker's slowness: ten answers tell half
+	reportSpan  = 3 * time.Second // time in which reports change a worker's crowding
+	reportGain  = 0.05            // weight of one report in the mean of all
+	barredFor   = 3 * time.Second
 	unitStep    = 1.5                    // most that one answer may be off, in logs: heavy tails say little
 	doubtPhi    = 6                      // expected answers overdue before a silent worker is doubted
 	doubtAfter  = 400 * time.Millisecond // shortest silence that raises a doubt: longer than a usual stall
 	askEvery    = time.Second            // how often a doubted worker is asked for a sign of life
 	patience    = 3                      // an attempt is overdue at this multiple of its expected time,
 	patienceMin = 100 * time.Millisecond // and not before this has been added to it
-	hedgeShare  = 0.1                    // second copies and cancels, of the calls: no storm of them
-	hedgeBurst  = 10                     // second copies at once, enough for what one worker holds
 	wakeSlack   = time.Millisecond       // how exact wakes are
 	windowStart = 12.0                   // attempts out at a worker, of all routers, before any are too many
 	windowUp    = 0.1                    // growth for an answer in time while the window is in use,
 	windowDown  = 0.2                    // and loss for a late one: in balance when a third are late
 	lateAnswer  = 1.5                    // an answer is late for the window at this multiple of its run time
 	windowMin   = 3.0                    // least window, of all routers
-	reportAge   = 500 * time.Millisecond // a load report is stale after that
 	lateShare   = 0.25                   // and no earlier than this share of the class's aim
 	windowCut   = 0.7                    // what a refusal leaves of the window
 	holdFor     = 30 * time.Millisecond  // first wait of a request with nowhere to go, doubled each time
@@ -51,42 +52,56 @@
 	forgetAfter = 2 * time.Minute        // a function not called for so long is forgotten
 )
 
+// kind is a kind of worker. Its slowness is learned from all of its workers' answers, long before one router
+// among many has heard often enough from each.
+type kind struct{ memory, slowness float64 }
+
 // worker is what this router knows of one worker.
 type worker struct {
 	Member
+	kind          *kind
+	bars          map[*class]bar
 	cold, doubted bool
 	score         uint64        // in the ranking that is being made
 	open          []*attempt    // own attempts out, oldest first
 	heard, asked  time.Duration // last sign of life, and last asked for one
 	slowness      float64       // log of its answer times over what they should be
+	crowding      float64       // log of the requests that it holds over what the others hold
+	toldAt        time.Duration // when it last reported
 	orders        int           // own load orders out
 	saved         float64       // work that may be sent there while it is cold,
 	savedAt       time.Duration // and when that was reckoned
-	slice, window float64       // room left in the walk; own attempts that may be out there
-	load          float64       // requests that it last said to hold,
-	loadAt        time.Duration // and when
+	slice, window float64       // room left in the walk; own attempts that may be out there,
+	busy          float64       // and those that are, on copies that stood
 }
 
 // function is what this router knows of one function.
 type function struct {
 	key                   string
+	class                 *class // of its last call
 	memory, lanes, demand float64
 	load, called          time.Duration
 	calls                 int     // in this round
-	rate, longRate        float64 // own calls a second
-	rounds                float64 // since it was first called
+	rate                  float64 // own calls a second
 	run, unit             float64 // log of answer time over unit, and the mean unit, see request.unit
 	answered              bool
 	ranked                []*worker
 	rankedAt              int // the roster that ranked belongs to
 	split                 []part
+	home                  *worker // the first of the split by rank
 	places                map[string]*place
 }
 
+// bar is a class's rest at a worker.
+type bar struct {
+	till  time.Duration
+	times int
+}
+
 // part is a worker's share of a function.
 type part struct {
-	w     *worker
-	share float64
+	w           *worker
+	share, turn float64 // turn: its place in the order of choice for the request at hand
 }
 
 // place is a function at a worker.
@@ -123,7 +138,6 @@
 	warm      bool    // a copy was thought to stand there
 	ended     bool
 	ran, bad  bool // may have run; not to be tried there again
-	given     bool // given up on: overdue
 }
 
 // wake is a moment at which a request is to be looked at again.
@@ -142,7 +156,7 @@
 	workers               map[string]*worker
 	list                  []*worker // those that may be sent to, by id
 	roster                int       // counts the changes of list
-	memory                map[string]float64
+	kinds                 map[string]*kind
 	classes               map[string]*class
 	fns                   map[string]*function
 	order                 []*function // in order of first sight
@@ -150,9 +164,10 @@
 	wakes                 []wake          // by time
 	held                  []*request      // those with nowhere to go for now
 	rate, work, workRate  float64         // own calls and seconds of work: a second, this round, a second
+	rounds                float64         // so far
 	calls, orders         []time.Duration // within the span of the load ration
-	hedges, loadTime      float64         // second copies saved up; log of the load times seen
-	allMemory             float64
+	loadTime              float64         // log of the load times seen
+	allMemory, meanHeld   float64
 }
 
 // New returns a Dispatcher with no knowledge but its settings.
@@ -167,10 +182,10 @@
 	}
 	s.Routers = max(s.Routers, 1)
 	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, 0)), workers: map[string]*worker{},
-		memory: map[string]float64{}, classes: map[string]*class{}, fns: map[string]*function{},
+		kinds: map[string]*kind{}, classes: map[string]*class{}, fns: map[string]*function{},
 		reqs: map[RequestID]*request{}, loadTime: math.Log(loadGuess.Seconds())}
 	for _, k := range s.Kinds {
-		d.memory[k.Name] = k.MemoryMB
+		d.kinds[k.Name] = &kind{memory: k.MemoryMB}
 	}
 	for _, c := range s.Classes {
 		d.classes[c.Name] = &class{Class: c, work: runGuess.Seconds()}
@@ -249,21 +264,26 @@
 		d.act(Watch{})
 	}
 	named := map[string]bool{}
+	meanWork := max(d.workRate/max(d.rate, 1e-9), runGuess.Seconds())
 	for _, m := range e.Members {
 		named[m.ID] = true
 		w := d.workers[m.ID]
 		if w == nil {
-			w = &worker{window: windowStart / float64(d.set.Routers)}
+			w = &worker{window: windowStart / float64(d.set.Routers), bars: map[*class]bar{}}
 			d.workers[m.ID] = w
 		} else if m.Started > w.Started {
 			for _, f := range d.order {
 				delete(f.places, m.ID)
 			}
-			*w = worker{open: w.open, heard: d.now, window: windowStart / float64(d.set.Routers)}
+			*w = worker{open: w.open, busy: w.busy, heard: d.now, bars: map[*class]bar{}}
+			w.window = windowStart / float64(d.set.Routers)
+		}
+		if d.kinds[m.Kind] == nil {
+			d.kinds[m.Kind] = &kind{}
 		}
-		w.Member = m
+		w.Member, w.kind = m, d.kinds[m.Kind]
 		if cold := m.Started > 0 && d.now-m.Started < d.set.ColdFor; cold != w.cold {
-			w.cold, w.saved, w.savedAt = cold, -d.rng.Float64()*d.meanWork(), d.now
+			w.cold, w.saved, w.savedAt = cold, -d.rng.Float64()*meanWork, d.now
 		}
 	}
 	d.list = d.list[:0:0]
@@ -301,13 +321,14 @@
 func (d *Dispatcher) round() {
 	span := (d.now - d.lastRound).Seconds()
 	d.lastRound = d.now
-	d.workRate += rateGain * (d.work/span - d.workRate)
+	d.rounds++
+	// Few calls are remembered for longer: a rate from one or two would lay every function out by chance,
+	// and at each router by another. With enough calls for each worker a burst shows within some rounds.
+	gain := max(min(d.rate*span/(perWorker*float64(max(len(d.list), 1))), rateGain), 1/d.rounds)
+	d.workRate += max(rateGain, 1/d.rounds) * (d.work/span - d.workRate)
 	d.work, d.rate = 0, 0
 	d.order = slices.DeleteFunc(d.order, func(f *function) bool {
-		now := float64(f.calls) / span
-		f.rate += rateGain * (now - f.rate)
-		f.rounds++
-		f.longRate += max(slowGain, 1/f.rounds) * (now - f.longRate)
+		f.rate += gain * (float64(f.calls)/span - f.rate)
 		f.calls, d.rate = 0, d.rate+f.rate
 		if d.now-f.called <= forgetAfter {
 			return false
@@ -319,7 +340,8 @@
 	d.tend()
 }
 
-// walk fills the workers' slices with the functions, lightest first.
+// walk fills the workers' slices with the functions, lightest first. The slices hold the demand and the
+// surplus, so nothing is left over while there is a worker.
 func (d *Dispatcher) walk() {
 	total, room := 0.0, 0.0
 	byWeight := slices.Clone(d.order)
@@ -337,36 +359,45 @@
 	})
 	for _, w := range d.list {
 		w.cold = w.cold && d.now-w.Started < d.set.ColdFor
-		w.slice = d.trust(w) * max(d.memory[w.Kind], 1)
+		w.slice = d.trust(w) * max(w.kind.memory, 1)
 		room += w.slice
-		d.allMemory += d.memory[w.Kind]
+		d.allMemory += w.kind.memory
 	}
 	for _, w := range d.list {
 		w.slice *= total * (1 + surplus) / max(room, 1e-9)
 	}
 	for _, f := range byWeight {
-		ranked := d.rank(f)
-		f.split = f.split[:0]
 		left := f.demand
-		for _, w := range ranked {
+		f.split = f.split[:0]
+		for _, w := range d.rank(f) {
 			if left <= 1e-9 {
 				break
 			}
-			if take := min(left, w.slice); take > 1e-9 {
+			if take := min(left, w.slice); take > 1e-9 && d.now >= w.bars[f.class].till {
 				w.slice -= take
 				left -= take
-				f.split = append(f.split, part{w, take / f.demand})
+				f.split = append(f.split, part{w: w, share: take / f.demand})
 			}
 		}
-		if len(ranked) > 0 && left > 1e-9 {
-			if len(f.split) == 0 || f.split[0].w != ranked[0] {
-				f.split = slices.Insert(f.split, 0, part{ranked[0], 0})
-			}
-			f.split[0].share += left / f.demand
+		if len(f.split) > 0 {
+			f.home = f.split[0].w
 		}
 	}
 }
 
+// weigh takes a worker's report of the requests that it holds. It guards against workers that get too much
+// while this router hears from each once in many seconds: a report counts by the time since the last, and
+// what is chance in it evens out in what all routers send. It hurts where requests are held for long anyway.
+func (d *Dispatcher) weigh(w *worker, held float64) {
+	gain := 1 - math.Exp(-float64(d.now-w.toldAt)/float64(reportSpan))
+	off := min(max(math.Log((held+1)/(d.meanHeld+1)), -1), 1)
+	w.toldAt, w.crowding = d.now, min(max(w.crowding+gain*(off-w.crowding/10), -2), 2)
+	d.meanHeld += reportGain * (held - d.meanHeld)
+}
+
+// slow is the log of how much longer a worker takes than is usual.
+func (w *worker) slow() float64 { return w.kind.slowness + w.slowness }
+
 // trust is the part of its memory that a worker's slice is cut from. It guards against workers that are
 // slow, crowded by others, cold or silent, whatever the cause: their functions spill down the ranking, and
 // come back as the answers do. It hurts where answers are slow for the functions' own sake.
@@ -374,7 +405,7 @@
 	if w.doubted && !d.manyDoubted() {
 		return 0.01
 	}
-	return min(math.Exp(-w.slowness), 1.5) * d.warmth(w)
+	return math.Exp(-w.kind.slowness-w.crowding) * min(math.Exp(-w.slowness), 1.5) * d.warmth(w)
 }
 
 // warmth is the share of its capacity that a worker surely has.
@@ -386,35 +417,48 @@
 	return min(max(d.set.ColdShare+(1-d.set.ColdShare)*age, 0.01), 1)
 }
 
-// pick chooses where a request goes: in the split the worker with the fewest own requests in flight per
-// share, then down the ranking. A doubted worker and one that failed this request are passed over while
+// candidates yields the workers for a function in order of choice: in the split by own requests in flight
+// per share, with a draw in proportion to the shares where there are hardly any, then down the ranking.
+func (d *Dispatcher) candidates(f *function) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		for i := range f.split {
+			s := &f.split[i]
+			s.turn = (float64(f.place(s.w).inFlight) + d.rng.ExpFloat64()) / s.share
+		}
+		slices.SortFunc(f.split, func(a, b part) int { return cmp.Compare(a.turn, b.turn) })
+		for _, s := range f.split {
+			if s.w.State == On && !yield(s.w) {
+				return
+			}
+		}
+		for _, w := range d.rank(f) {
+			if !f.in(w) && !yield(w) {
+				return
+			}
+		}
+	}
+}
+
+// in tells whether a worker is in a function's split.
+func (f *function) in(w *worker) bool {
+	return slices.ContainsFunc(f.split, func(s part) bool { return s.w == w })
+}
+
+// pick chooses where a request goes. A doubted worker and one that failed this request are passed over while
 // another legal one stands. Where the choice holds no copy and another worker does, the choice is told to
 // load and the other serves: a split that moves or grows costs nobody a load's wait.
 func (d *Dispatcher) pick(r *request) *worker {
 	f := r.fn
-	parts := slices.Clone(f.split)
-	per := func(p part) float64 { return float64(f.place(p.w).inFlight+1) / p.share }
-	slices.SortStableFunc(parts, func(a, b part) int { return cmp.Compare(per(a), per(b)) })
-	order := make([]*worker, 0, len(d.list))
-	for _, p := range parts {
-		if p.w.State == On {
-			order = append(order, p.w)
-		}
-	}
-	for _, w := range d.rank(f) {
-		if !slices.Contains(order, w) {
-			order = append(order, w)
-		}
-	}
 	many := d.manyDoubted()
 	var choice, second *worker
 	full, warmFull, resting := false, false, false
-	for _, w := range order {
+	for w := range d.candidates(f) {
 		if !d.maySend(r, w) {
 			continue
 		}
 		p := f.place(w)
-		if d.doubt(w) && !many || r.failedAt(w) || d.now < p.restTill || d.stuck(f, p) {
+		rests := d.now < max(w.bars[r.class].till, p.restTill)
+		if d.doubt(w) && !many || r.failedAt(w) || rests || d.stuck(f, p) {
 			if r.out == 0 && d.now >= p.restTill {
 				second = cmp.Or(second, w)
 			}
@@ -425,14 +469,13 @@
 			choice = cmp.Or(choice, w) // join the load under way
 			continue
 		}
-		reported := d.now-w.loadAt < reportAge && w.load >= 2*w.window*float64(d.set.Routers)
-		if w.busy() >= max(w.window, 1) || reported {
+		if w.busy >= max(w.window, 1) {
 			full, warmFull = true, warmFull || d.now < p.warmTill
 			continue
 		}
 		if d.now < p.warmTill {
 			if choice != nil && d.set.MayOrder {
-				d.load(f, choice, 1, 1)
+				d.load(f, choice, 1)
 			}
 			return w
 		}
@@ -441,7 +484,7 @@
 		}
 	}
 	if choice != nil && warmFull && d.set.MayOrder {
-		d.load(f, choice, 1, holdReserve)
+		d.load(f, choice, holdReserve)
 		return nil // wait for the load or for room, whichever comes first
 	} else if choice == nil && !full && !resting {
 		return second
@@ -449,16 +492,6 @@
 	return choice
 }
 
-// busy is the number of own attempts at a worker that are not thought to wait on a load.
-func (w *worker) busy() (n float64) {
-	for _, a := range w.open {
-		if a.warm {
-			n++
-		}
-	}
-	return n
-}
-
 func (r *request) failedAt(w *worker) bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.w == w && (a.bad || !a.ended) })
 }
@@ -490,7 +523,7 @@
 // load is the gate of all load orders. It joins an order already out, lets a failed load rest, keeps to
 // the cap and the ration (ration is the part of it that this order may use up), and orders nothing where
 // nothing may be sent.
-func (d *Dispatcher) load(f *function, w *worker, copies int, ration float64) bool {
+func (d *Dispatcher) load(f *function, w *worker, ration float64) bool {
 	p := f.place(w)
 	if p.ordered > 0 {
 		return true
@@ -509,7 +542,7 @@
 	}
 	p.ordered = d.now
 	w.orders++
-	d.act(LoadOrder{Worker: w.ID, Function: f.key, Copies: copies})
+	d.act(LoadOrder{Worker: w.ID, Function: f.key, Copies: 1})
 	return true
 }
 
@@ -538,32 +571,21 @@
 // loadFailed rests a place, longer each time and never two routers in step: a store or a worker in
 // trouble is not stormed.
 func (d *Dispatcher) loadFailed(p *place) {
-	rest := float64(failedFor) * math.Exp2(float64(min(p.failures, 4))) * (0.75 + d.rng.Float64()/2)
-	p.warmTill, p.restTill, p.failures = 0, d.now+time.Duration(rest), p.failures+1
+	p.warmTill, p.restTill, p.failures = 0, d.now+d.spread(failedFor, p.failures), p.failures+1
 }
 
-// tend renews copies at a function's home before they are dropped for idleness, where a call to come is
-// worth more than the memory that waits for it; a copy voided by a release so comes back before it is
-// called. Where idle memory has a price, it lets go of what is not worth it and of what a split has left,
-// one router of all in a round: an unload drops the copies of the others too.
+// tend renews the copy at a function's home before it is dropped for idleness, where a call to come is worth
+// more than the memory that waits for it; a copy voided by a release so comes back before it is called.
 func (d *Dispatcher) tend() {
 	price := d.set.Prices.IdleMemory / max(d.allMemory, 1)
 	for _, f := range d.order {
-		for _, w := range d.list {
-			p := f.places[w.ID]
-			if p == nil || !d.set.MayOrder || w.doubted || d.now >= p.warmTill || p.ordered > 0 {
-				continue
-			}
-			in := slices.ContainsFunc(f.split, func(s part) bool { return s.w == w })
-			keep := in && f.longRate >= d.rate*price*f.memory
-			switch {
-			case price > 0 && p.inFlight == 0 && !keep && d.rng.IntN(d.set.Routers) == 0:
-				d.act(Unload{Worker: w.ID, Function: f.key})
-				p.warmTill = 0
-			case keep && f.split[0].w == w && p.inFlight == 0 && p.warmTill-d.now < d.set.IdleKeep/2 &&
-				f.longRate*float64(d.set.Routers)*d.set.IdleKeep.Seconds() > holdCalls:
-				d.load(f, w, 1, holdReserve)
-			}
+		if f.home == nil || f.home.doubted || f.rate < d.rate*price*f.memory {
+			continue
+		}
+		p := f.place(f.home)
+		idle := p.inFlight == 0 && d.now < p.warmTill && p.warmTill-d.now < d.set.IdleKeep/2
+		if idle && f.rate*float64(d.set.Routers)*d.set.IdleKeep.Seconds() > holdCalls {
+			d.load(f, f.home, holdReserve)
 		}
 	}
 }
@@ -576,27 +598,22 @@
 		c = &class{Class: Class{Name: e.Class}, work: runGuess.Seconds()}
 		d.classes[e.Class] = c
 	}
+	r := &request{Request: e, class: c, came: d.now, deadline: d.now + max(e.Left, 0), unit: 1}
+	run := math.Log(runGuess.Seconds())
+	if e.Work > 0 {
+		r.unit, run = e.Work.Seconds(), 0
+		c.work += workerGain * (r.unit - c.work)
+	}
 	f := d.fns[e.Function]
 	if f == nil {
-		f = &function{key: e.Function, places: map[string]*place{}}
+		f = &function{key: e.Function, run: run, unit: r.unit, places: map[string]*place{}}
 		d.fns[e.Function] = f
 		d.order = append(d.order, f)
 	}
-	r := &request{Request: e, fn: f, class: c, came: d.now, deadline: d.now + max(e.Left, 0), unit: 1}
+	r.fn, f.class, f.calls, f.called = f, c, f.calls+1, d.now
 	f.memory, f.lanes, f.load = max(e.MemoryMB, 1), float64(max(e.Lanes, 1)), e.LoadTime
-	f.calls, f.called = f.calls+1, d.now
-	if e.Work > 0 {
-		r.unit = e.Work.Seconds()
-		c.work += workerGain * (r.unit - c.work)
-	}
-	if f.unit == 0 {
-		if f.unit = r.unit; e.Work == 0 {
-			f.run = math.Log(runGuess.Seconds())
-		}
-	}
 	f.unit += runGain * (r.unit - f.unit)
 	d.work += c.work
-	d.hedges = min(d.hedges+hedgeShare, hedgeBurst)
 	if d.set.LoadSpan > 0 {
 		d.calls = append(d.calls, d.now)
 	}
@@ -656,40 +673,12 @@
 	}
 }
 
-// look is a request's wake: its time is up, it waits for something, or an attempt may be overdue. Then a
-// second copy is sent, or the attempt is taken back from a silent worker where two at once are not allowed.
-// It guards against workers that hang, stall, vanish or crawl; hedges are a small share of the calls, so a
-// slow fleet is not made slower by them.
+// look is a request's wake: its time is up, or what it waited for is due.
 func (d *Dispatcher) look(r *request) {
-	switch {
-	case r.done:
-		return
-	case d.now >= r.deadline:
+	if !r.done && d.now >= r.deadline {
 		d.conclude(r)
-		return
-	case r.wanted && r.out == 0:
+	} else if !r.done && r.wanted && r.out == 0 {
 		d.route(r)
-		return
-	case r.out != 1 || r.class.Effect == Unsafe || d.hedges < 1:
-		return
-	}
-	a := r.attempts[slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.ended })]
-	due := a.sent + patienceMin + time.Duration(patience*a.expected*float64(time.Second))
-	switch n := len(r.attempts); {
-	case d.now < due:
-		d.wakeAt(r, due)
-	case a.given:
-	case d.set.SecondCopies:
-		a.given = true
-		if d.route(r); len(r.attempts) > n {
-			d.hedges--
-		}
-	case d.set.MayCancel && d.doubt(a.w) && !d.manyDoubted():
-		a.given = true
-		d.hedges--
-		d.act(Cancel{ID: r.ID, Attempt: a.n})
-	default:
-		d.wakeAt(r, d.now+patienceMin)
 	}
 }
 
@@ -705,22 +694,31 @@
 	r.out--
 	p.inFlight = max(p.inFlight-1, 0)
 	w.open = slices.DeleteFunc(w.open, func(o *attempt) bool { return o == a })
-	if e.Load.InFlight >= 0 && !d.set.LoadsOnMiss { // else it counts what waits on loads
-		w.load, w.loadAt = e.Load.InFlight, d.now
+	if a.warm {
+		w.busy--
 	}
+	slow := e.Load.InFlight >= 0 && e.Load.InFlight < d.meanHeld && e.Took > r.class.Aim/20
+	odd := (a.warm || !d.set.LoadsOnMiss) && (e.Result == Errored || e.Result == Refused && slow)
 	a.ran = !slices.Contains([]Result{Refused, NoConnection, NotSent, Missed}, e.Result)
 	a.bad = e.Result != OK && e.Result != Missed && e.Result != NotSent
 	if e.Result != TimedOut && e.Result != NotSent && e.Result != Cancelled {
 		w.heard, w.doubted = d.now, false
 	}
+	switch {
+	case odd:
+		d.bar(w, r.class)
+	case e.Load.InFlight >= 0:
+		d.weigh(w, e.Load.InFlight)
+	}
 	switch e.Result {
 	case OK:
 		d.learn(r, a, e)
+		w.bars[r.class] = bar{w.bars[r.class].till, max(w.bars[r.class].times-1, 0)}
 		p.warmTill, p.failures = max(p.warmTill, d.now+d.set.IdleKeep), 0
 	case Missed:
 		p.warmTill = 0
 	case Refused:
-		if a.warm {
+		if odd || a.warm {
 			w.window = max(w.window*windowCut, windowMin/float64(d.set.Routers))
 		} else {
 			d.loadFailed(p) // no room for a load, more likely than a full queue
@@ -739,7 +737,7 @@
 	case r.out > 0:
 	case d.now >= r.deadline:
 		d.conclude(r)
-	case e.Result == Missed && d.load(r.fn, w, 1, 1):
+	case e.Result == Missed && d.load(r.fn, w, 1):
 		d.route(r)
 	case e.Result == Missed && w.orders < pendingCap || e.Result == Refused && len(r.attempts) >= 2:
 		r.wanted, r.holds = true, r.holds+1 // wait a little, longer each time
@@ -765,12 +763,15 @@
 	took := e.Took.Seconds()
 	if late := lateAnswer * math.Exp(f.run) * r.unit; took > max(late, r.class.Aim.Seconds()*lateShare) {
 		a.w.window = max(a.w.window-windowDown, windowMin/float64(d.set.Routers))
-	} else if a.w.busy()+1 > a.w.window/2 {
+	} else if a.w.busy+1 > a.w.window/2 {
 		a.w.window += windowUp
 	}
-	off := math.Log(max(e.Took.Seconds(), 1e-4)/r.unit) - f.run - a.w.slowness
+	off := math.Log(max(e.Took.Seconds(), 1e-4)/r.unit) - f.run - a.w.slow()
 	off = min(max(off, -unitStep), unitStep)
 	f.run += runGain * off / float64(1+a.others)
+	if len(d.kinds) > 1 { // of one kind it would tell what run tells
+		a.w.kind.slowness = min(max(a.w.kind.slowness+workerGain*off, -1), 2.5)
+	}
 	a.w.slowness = min(max(a.w.slowness+workerGain*off, -1), 2.5)
 	if r.Work == 0 {
 		r.class.work += workerGain * (e.Took.Seconds() - r.class.work)
@@ -793,14 +794,10 @@
 
 // Health ------------------------------------------------------------------------------------------------
 
-// raise doubts a worker and has the requests out there looked at.
+// raise doubts a worker.
 func (d *Dispatcher) raise(w *worker) {
-	if w.doubted {
-		return
-	}
-	w.doubted, w.asked = true, d.now
-	for _, a := range w.open {
-		d.wakeAt(a.r, d.now)
+	if !w.doubted {
+		w.doubted, w.asked = true, d.now
 	}
 }
 
@@ -824,6 +821,20 @@
 	return w.doubted
 }
 
+// bar rests a class at a worker that fails it, or refuses it slowly with room to spare, longer each time; the
+// walk then passes the worker over for it. Its other classes are served as usual. It hurts where an error was
+// the request's own.
+func (d *Dispatcher) bar(w *worker, c *class) {
+	b := w.bars[c]
+	b.till, b.times = d.now+d.spread(barredFor, b.times), b.times+1
+	w.bars[c] = b
+}
+
+// spread is a rest that doubles each time, never two routers' in step.
+func (d *Dispatcher) spread(first time.Duration, times int) time.Duration {
+	return time.Duration(float64(first) * math.Exp2(float64(min(times, 4))) * (0.75 + d.rng.Float64()/2))
+}
+
 // manyDoubted tells that half the fleet looks bad: then the trouble is the store, the list or this
 // router's own view, and passing workers over would only crowd the rest.
 func (d *Dispatcher) manyDoubted() bool {
@@ -835,10 +846,8 @@
 
 // maySend tells whether the rules let a request go to a worker now.
 func (d *Dispatcher) maySend(r *request, w *worker) bool {
-	if r.done || d.now >= r.deadline || len(r.attempts) >= d.set.MaxAttempts || w.State != On {
-		return false
-	}
-	if r.out > 0 && !d.set.SecondCopies {
+	if r.done || d.now >= r.deadline || len(r.attempts) >= d.set.MaxAttempts || w.State != On ||
+		r.out > 0 && !d.set.SecondCopies {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -853,8 +862,8 @@
 }
 
 // coldRoom keeps this router's part of what a worker that has just started can take: its fair share of this
-// router's own work, scaled to the capacity that the worker surely has. The part of one of many routers is far
-// less than a request, so it is saved up from a seeded phase; the routers then send one after another.
+// router's own work, scaled to the capacity that the worker surely has. The part of one of many routers is
+// far less than a request, so it is saved up from a seeded phase; the routers then send one after another.
 func (d *Dispatcher) coldRoom(w *worker) bool {
 	rate := d.warmth(w) * d.workRate / float64(max(len(d.list), 1))
 	w.saved = min(w.saved+rate*(d.now-w.savedAt).Seconds(), rate*d.set.FallSpan.Seconds())
@@ -862,9 +871,6 @@
 	return !w.cold || w.saved > 0
 }
 
-// meanWork is the seconds of work of a usual request here.
-func (d *Dispatcher) meanWork() float64 { return max(d.workRate/max(d.rate, 1e-9), runGuess.Seconds()) }
-
 // send is the gate of all attempts.
 func (d *Dispatcher) send(r *request, w *worker) {
 	if !d.maySend(r, w) {
@@ -872,7 +878,7 @@
 	}
 	p := r.fn.place(w)
 	a := &attempt{r: r, w: w, n: len(r.attempts), others: len(w.open), sent: d.now, warm: d.now < p.warmTill}
-	a.expected = math.Exp(r.fn.run+w.slowness) * r.unit
+	a.expected = math.Exp(r.fn.run+w.slow()) * r.unit
 	if !a.warm && d.set.LoadsOnMiss {
 		a.expected += d.loadsIn(r.fn).Seconds()
 	}
@@ -881,9 +887,11 @@
 	r.wanted = false
 	p.inFlight++
 	w.open = append(w.open, a)
+	if a.warm {
+		w.busy++
+	}
 	w.saved -= r.class.work
 	d.act(Send{ID: r.ID, Worker: w.ID})
-	d.wakeAt(r, d.now+patienceMin)
 }
 
 // conclude is the gate of all final answers that are not served: a refusal where trying again is
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -336,6 +336,107 @@
 	}
 }
 
+// answer ends an attempt as the test says.
+func (r *rig) answer(s Send, attempt int, o Outcome) []Action {
+	r.t.Helper()
+	o.ID, o.Worker, o.Attempt, o.Final = s.ID, s.Worker, attempt, o.Result == OK
+	return r.step(o)
+}
+
+// warmed has a function called and served until its first-ranked worker is known to hold it.
+func (r *rig) warmed(function, class string) string {
+	r.t.Helper()
+	_, out := r.call(function, class)
+	s := r.sent(out)
+	r.answer(s, 0, Outcome{Took: 50 * time.Millisecond, Company: -1, Load: NoLoad})
+	return s.Worker
+}
+
+func TestClassRestsWhereItFailsAndOthersAreServed(t *testing.T) {
+	busy := Load{InFlight: 9, Queue: -1, Loading: -1}
+	for name, end := range map[string]Outcome{
+		"error":                   {Result: Errored, Took: 40 * time.Millisecond, Load: NoLoad},
+		"slow refusal, room left": {Result: Refused, Took: 200 * time.Millisecond, Load: Load{Queue: -1, Loading: -1}},
+	} {
+		s := settings()
+		s.LoadsOnMiss, s.MayOrder = true, false
+		r := newRig(t, s, "w1", "w2", "w3")
+		home := r.warmed("f", "once")
+		other := ""
+		for i := 0; other == ""; i++ {
+			if key := fmt.Sprintf("g%d", i); r.warmed(key, "safe") == home {
+				other = key
+			}
+		}
+		_, out := r.call(other, "safe")
+		r.answer(r.sent(out), 0, Outcome{Took: 50 * time.Millisecond, Load: busy})
+		_, out = r.call("f", "once")
+		r.answer(r.sent(out), 0, end)
+		if _, out = r.call("f", "once"); r.sent(out).Worker == home {
+			t.Errorf("%s: sent to the same worker again", name)
+		}
+		if _, out = r.call(other, "safe"); r.sent(out).Worker != home {
+			t.Errorf("%s: another class left the worker too", name)
+		}
+		r.after(30 * time.Second)
+		if _, out = r.call("f", "once"); r.sent(out).Worker != home {
+			t.Errorf("%s: the class never came back to its home", name)
+		}
+	}
+}
+
+func TestManyRoutersAgreeOnHomesAndUseSplitsEvenly(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	const routers, workers = 120, 30
+	c := newCrowd(t, routers, s, workers)
+	key := func(router, call int) string { // half of the calls for one function, the others for a hundred
+		if (router+call)%2 == 0 {
+			return "hot"
+		}
+		return fmt.Sprintf("f%d", (router*7+call*13)%100)
+	}
+	c.play(30*time.Second, 200*time.Millisecond, 50*time.Millisecond, key)
+	for _, r := range c.rigs[1:] {
+		for k, f := range r.d.fns {
+			if g := c.rigs[0].d.fns[k]; g != nil && r.d.rank(f)[0].ID != c.rigs[0].d.rank(g)[0].ID {
+				t.Fatalf("%s: first-ranked worker differs", k)
+			}
+		}
+	}
+	sends := map[string]int{}
+	all := all[Send](c.play(5*time.Second, 200*time.Millisecond, 50*time.Millisecond,
+		func(int, int) string { return "hot" }))
+	most := 0
+	for _, a := range all {
+		sends[a.Worker]++
+		most = max(most, sends[a.Worker])
+	}
+	if len(sends) < workers/3 || most > len(all)/5 {
+		t.Errorf("half of all calls go to %d workers, %d of %d to one", len(sends), most, len(all))
+	}
+}
+
+func TestReportsCutACrowdedWorkersSlice(t *testing.T) {
+	r := newRig(t, settings(), "w1", "w2", "w3")
+	for range 40 {
+		r.now += 5 * time.Second
+		for _, w := range r.d.list {
+			held := 3.0
+			if w.ID == "w2" {
+				held = 30
+			}
+			r.d.now = r.now
+			r.d.weigh(w, held)
+		}
+	}
+	crowded, idle := r.d.workers["w2"], r.d.workers["w1"]
+	if 2*r.d.trust(crowded) > r.d.trust(idle) {
+		t.Errorf("trust %.2f in a worker that holds ten times as much, %.2f in the others", r.d.trust(crowded),
+			r.d.trust(idle))
+	}
+}
+
 func TestLoadRation(t *testing.T) {
 	s := settings()
 	s.LoadSpan, s.LoadFree, s.LoadRatio = 5*time.Second, 2, 0.1
