--- a/brain/brain.go
+++ b/brain/brain.go
@@ -164,7 +164,7 @@
 	reqs                  map[RequestID]*request
 	wakes                 []wake          // by time
 	held                  []*request      // those with nowhere to go for now
-	rate, work, workRate  float64         // own calls and seconds of work: a second, this round, a second
+	rate, work, workRate  float64         // own calls a second; work served: this round, and a second
 	rounds                float64         // so far
 	calls, orders         []time.Duration // within the span of the load ration
 	loadTime              float64         // log of the load times seen
@@ -623,7 +623,6 @@
 	r.fn, f.class, f.calls, f.called = f, c, f.calls+1, d.now
 	f.memory, f.lanes, f.load = max(e.MemoryMB, 1), float64(max(e.Lanes, 1)), e.LoadTime
 	f.unit += runGain * (r.unit - f.unit)
-	d.work += c.work
 	d.inquire()
 	if d.set.LoadSpan > 0 {
 		d.calls = append(d.calls, d.now)
@@ -722,6 +721,7 @@
 	switch e.Result {
 	case OK:
 		d.learn(r, a, e)
+		d.work += r.class.work
 		w.bars[r.class] = bar{w.bars[r.class].till, max(w.bars[r.class].times-1, 0)}
 		p.warmTill, p.failures = max(p.warmTill, d.now+d.set.IdleKeep), 0
 	case Missed:
@@ -863,9 +863,9 @@
 	return d.coldRoom(w)
 }
 
-// coldRoom keeps this router's part of what a worker that has just started can take: its fair share of this
-// router's own work, scaled to the capacity that the worker surely has. The part of one of many routers is
-// far less than a request, so it is saved up from a seeded phase; the routers then send one after another.
+// coldRoom keeps this router's part of what a worker that has just started can take: its fair share of the work
+// that this router has served, which no overload raises, scaled to the capacity that it surely has. The part of
+// one of many routers is far less than a request, so it is saved up from a seeded phase.
 func (d *Dispatcher) coldRoom(w *worker) bool {
 	rate := d.warmth(w) * d.workRate / float64(max(len(d.list), 1))
 	w.saved = min(w.saved+rate*(d.now-w.savedAt).Seconds(), rate*d.set.FallSpan.Seconds())
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -341,6 +341,21 @@
 	}
 }
 
+func TestWorkAskedForButNotServedRaisesNoColdBudget(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	c := newCrowd(t, 50, s, 10)
+	c.play(8*time.Second, 50*time.Millisecond, -1, func(_, call int) string { return fmt.Sprintf("f%d", call%20) })
+	c.members[3].Started = c.rigs[0].now
+	c.roster()
+	for _, a := range all[Send](c.play(s.FallSpan, 50*time.Millisecond, -1,
+		func(_, call int) string { return fmt.Sprintf("f%d", call%20) })) {
+		if a.Worker == c.members[3].ID {
+			t.Fatal("sent to a cold worker by a router that has had nothing served")
+		}
+	}
+}
+
 // answer ends an attempt as the test says.
 func (r *rig) answer(s Send, attempt int, o Outcome) []Action {
 	r.t.Helper()
