--- a/brain/brain.go
+++ b/brain/brain.go
@@ -863,9 +863,9 @@
 	return d.coldRoom(w)
 }
 
-// coldRoom keeps this router's part of what a worker that has just started can take: its fair share of the work
-// that this router has served, which no overload raises, scaled to the capacity that it surely has. The part of
-// one of many routers is far less than a request, so it is saved up from a seeded phase.
+// coldRoom keeps this router's part of what a worker that has just started can take: its fair share of the
+// work that this router has served, which no overload raises, scaled to the capacity that it surely has. The
+// part of one of many routers is far less than a request, so it is saved up from a seeded phase.
 func (d *Dispatcher) coldRoom(w *worker) bool {
 	rate := d.warmth(w) * d.workRate / float64(max(len(d.list), 1))
 	w.saved = min(w.saved+rate*(d.now-w.savedAt).Seconds(), rate*d.set.FallSpan.Seconds())
