One window of own attempts for all workers, shrinking for light requests that are late

Cause: with over 40 routers the least of one attempt at each worker bounds nothing, and queues at workers grow past the aim. Requests heavy by their hint are late for their own sake and don't count.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -168,6 +168,7 @@
 	rounds                float64         // so far
 	calls, orders         []time.Duration // within the span of the load ration
 	loadTime              float64         // log of the load times seen
+	busy, window, part    float64         // own attempts out; the fleet window for a worker; own part of it
 	meanHeld              float64         // requests that a worker reports to hold
 }
 
@@ -184,7 +185,7 @@
 	s.Routers = max(s.Routers, 1)
 	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, 0)), workers: map[string]*worker{},
 		kinds: map[string]*kind{}, classes: map[string]*class{}, fns: map[string]*function{},
-		reqs: map[RequestID]*request{}, loadTime: math.Log(loadGuess.Seconds())}
+		reqs: map[RequestID]*request{}, loadTime: math.Log(loadGuess.Seconds()), window: windowStart}
 	for _, k := range s.Kinds {
 		d.kinds[k.Name] = &kind{memory: k.MemoryMB}
 	}
@@ -232,8 +233,11 @@
 	}
 	for len(d.wakes) > 0 && d.wakes[0].at <= d.now {
 		r := d.reqs[d.wakes[0].id]
-		if d.wakes = d.wakes[1:]; r != nil {
-			d.look(r)
+		d.wakes = d.wakes[1:]
+		if r != nil && d.now >= r.deadline {
+			d.conclude(r)
+		} else if r != nil && !r.done && r.wanted && r.out == 0 {
+			d.route(r)
 		}
 	}
 	if d.now-d.lastRound >= roundEvery {
@@ -282,10 +286,7 @@
 			*w = worker{open: w.open, busy: w.busy, heard: d.now, bars: map[*class]bar{}}
 			w.window = windowStart / float64(d.set.Routers)
 		}
-		if d.kinds[m.Kind] == nil {
-			d.kinds[m.Kind] = &kind{}
-		}
-		w.Member, w.kind = m, d.kinds[m.Kind]
+		w.Member, w.kind = m, cmp.Or(d.kinds[m.Kind], &kind{})
 		if cold := m.Started > 0 && d.now-m.Started < d.set.ColdFor; cold != w.cold {
 			w.cold, w.saved, w.savedAt = cold, -d.rng.Float64()*meanWork, d.now
 		}
@@ -301,6 +302,7 @@
 	}
 	slices.SortFunc(d.list, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	d.roster++
+	d.part = float64(max(len(d.list), 1)) / float64(d.set.Routers)
 	if d.begun && d.lastRound < d.now {
 		d.walk()
 	}
@@ -442,18 +444,14 @@
 			}
 		}
 		for _, w := range d.rank(f) {
-			if !f.in(w) && !yield(w) {
+			in := slices.ContainsFunc(f.split, func(s part) bool { return s.w == w })
+			if !in && !yield(w) {
 				return
 			}
 		}
 	}
 }
 
-// in tells whether a worker is in a function's split.
-func (f *function) in(w *worker) bool {
-	return slices.ContainsFunc(f.split, func(s part) bool { return s.w == w })
-}
-
 // pick chooses where a request goes. A doubted worker and one that failed this request are passed over while
 // another legal one stands. Where the choice holds no copy and another worker does, the choice is told to
 // load and the other serves: a split that moves or grows costs nobody a load's wait.
@@ -480,7 +478,7 @@
 			choice = cmp.Or(choice, w) // join the load under way
 			continue
 		}
-		if w.busy >= max(w.window, 1) {
+		if w.busy >= max(w.window, 1) || d.busy >= max(d.window*d.part, 1) {
 			full, warmFull = true, warmFull || warm
 			continue
 		}
@@ -681,15 +679,6 @@
 	}
 }
 
-// look is a request's wake: its time is up, or what it waited for is due.
-func (d *Dispatcher) look(r *request) {
-	if !r.done && d.now >= r.deadline {
-		d.conclude(r)
-	} else if !r.done && r.wanted && r.out == 0 {
-		d.route(r)
-	}
-}
-
 // ended takes the end of an attempt.
 func (d *Dispatcher) ended(e Outcome) {
 	r := d.reqs[e.ID]
@@ -704,6 +693,7 @@
 	w.open = slices.DeleteFunc(w.open, func(o *attempt) bool { return o == a })
 	if a.warm {
 		w.busy--
+		d.busy--
 	}
 	slow := e.Load.InFlight >= 0 && e.Load.InFlight < d.meanHeld && e.Took > r.class.Aim/20
 	odd := (a.warm || !d.set.LoadsOnMiss) && (e.Result == Errored || e.Result == Refused && slow)
@@ -775,6 +765,13 @@
 	} else if a.w.busy+1 > a.w.window/2 {
 		a.w.window += windowUp
 	}
+	// Of many routers each has less than one attempt at a worker: one window for all workers bounds them. It
+	// shrinks for answers that are late though the request is light by its hint, so for queues.
+	if e.Took > r.class.Aim && r.Work < r.class.Aim/4 {
+		d.window = max(d.window-windowDown/d.part, 2*windowMin)
+	} else if e.Took < r.class.Aim && d.busy+1 > d.window*d.part/2 {
+		d.window += windowUp / d.part
+	}
 	off := math.Log(max(e.Took.Seconds(), 1e-4)/r.unit) - f.run - a.w.slow()
 	off = min(max(off, -unitStep), unitStep)
 	f.run += runGain * off / float64(1+a.others)
@@ -891,6 +888,7 @@
 	w.open = append(w.open, a)
 	if a.warm {
 		w.busy++
+		d.busy++
 	}
 	w.saved -= r.class.work
 	d.act(Send{ID: r.ID, Worker: w.ID})
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -356,6 +356,29 @@
 	}
 }
 
+func TestFleetWindowShrinksForQueuesNotForHeavyRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		work    time.Duration
+		shrinks bool
+	}{"light": {20 * time.Millisecond, true}, "heavy by its hint": {800 * time.Millisecond, false}} {
+		s := settings()
+		s.Routers = 100
+		r := newRig(t, s, "w1", "w2", "w3")
+		r.warmed("f", "safe")
+		before := r.d.window
+		for range 5 {
+			r.next++
+			out := r.step(Request{ID: r.next, Function: "f", Class: "safe", MemoryMB: 300, Lanes: 1, Work: c.work,
+				Left: 3 * time.Second})
+			r.after(1200 * time.Millisecond)
+			r.answer(r.sent(out), 0, Outcome{Took: 1200 * time.Millisecond, Company: -1, Load: NoLoad})
+		}
+		if shrunk := r.d.window < before; shrunk != c.shrinks {
+			t.Errorf("%s: window %.2f, then %.2f", name, before, r.d.window)
+		}
+	}
+}
+
 // answer ends an attempt as the test says.
 func (r *rig) answer(s Send, attempt int, o Outcome) []Action {
 	r.t.Helper()
