--- a/brain/api.go
+++ b/brain/api.go
@@ -66,11 +66,6 @@
 	MemoryMB float64
 }
 
-// Prices are what the operators take off for each unit, as a share of the whole service.
-type Prices struct {
-	CrossZone, Waste, Probe, LateFail, Fetch, IdleMemory float64
-}
-
 // Settings are what a router is told at its start.
 type Settings struct {
 	Zone           string
@@ -78,14 +73,11 @@
 	Classes        []Class
 	Tenants        []Tenant
 	OverShareWorth float64 // what a request beyond its tenant's share is worth
-	ByWork         bool    // worth goes by work rather than by request
 	Kinds          []Kind
 	LoadsOnMiss    bool // a worker that lacks a function loads it, rather than answering Miss
-	MayOrder       bool // Load and Unload are permitted
+	MayOrder       bool // load orders are permitted
 	TellsWarm      bool // answers say whether a copy stood loaded
-	TellsCompany   bool // answers say how many requests of the function the worker held
 	IdleKeep       time.Duration
-	OrderTimeout   time.Duration
 	LoadSpan       time.Duration // the ration of load orders: 0 for none
 	LoadFree       float64
 	LoadRatio      float64
@@ -102,7 +94,6 @@
 	FallMultiple   float64 // a cold worker falls over at this multiple of its present capacity
 	FallSpan       time.Duration
 	MustAsk        bool // the list of workers comes only to those who subscribe
-	Prices         Prices
 }
 
 // State is a worker's state by the list.
@@ -270,12 +261,6 @@
 	Copies   int
 }
 
-// Unload has a worker drop its idle copies of a function, whoever uses them. It is not answered.
-type Unload struct {
-	Worker   string
-	Function string
-}
-
 // Probe examines a worker. It is answered by Probed.
 type Probe struct{ Worker string }
 
@@ -293,7 +278,6 @@
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (LoadOrder) action() {}
-func (Unload) action()    {}
 func (Probe) action()     {}
 func (Watch) action()     {}
 func (Wake) action()      {}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -13,13 +13,10 @@
 		Zone:           f.text("az", false),
 		Routers:        int(f.integer("balancers", false)),
 		OverShareWorth: f.number("over_share_worth", false),
-		ByWork:         f.text("worth_by", false) == "work",
 		LoadsOnMiss:    f.text("family_info.when_absent", false) == "load",
 		MayOrder:       f.bool("family_info.may_order"),
 		TellsWarm:      f.bool("family_info.tells_warm"),
-		TellsCompany:   f.bool("family_info.says_company"),
 		IdleKeep:       f.duration("family_info.linger_idle", false),
-		OrderTimeout:   f.duration("family_info.order_timeout", false),
 		LoadSpan:       f.duration("family_info.load_span", false),
 		LoadFree:       f.number("family_info.free_loads", false),
 		LoadRatio:      f.number("family_info.load_ratio", false),
@@ -34,14 +31,6 @@
 		FallMultiple:   f.number("safety.overload_factor", false),
 		FallSpan:       f.duration("safety.fall", false),
 		MustAsk:        f.text("registry_mode", false) == "ask",
-		Prices: brain.Prices{
-			CrossZone:  f.number("deductions.cross_zone", false),
-			Waste:      f.number("deductions.waste", false),
-			Probe:      f.number("deductions.probe", false),
-			LateFail:   f.number("deductions.late_fail", false),
-			Fetch:      f.number("deductions.origin", false),
-			IdleMemory: f.number("family_info.idle_price", false),
-		},
 	}
 	if f.bool("limits.retry_after") {
 		s.MaxRetryAfter = f.duration("limits.max_retry_after", false)
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -58,10 +58,6 @@
 			w.text("callee", a.Function)
 			w.integer("count", int64(a.Copies))
 			w.text("server", a.Worker)
-		case brain.Unload:
-			w.line("UNLOAD", router)
-			w.text("server", a.Worker)
-			w.text("callee", a.Function)
 		case brain.Probe:
 			w.line("HEALTH_CHECK", router)
 			w.text("server", a.Worker)
