Gateway, first slice: gRPC through the module to stand-in workers on loopback

Need: the users want to run the decisions. HPACK, HTTP/2 and gRPC framing on netpoll, the Open Inference Protocol, the router's loop around the module, connections to workers with a table of evidence, a stand-in worker, settings by JSON schema.

Seen: grpc-go's client gets a unary and a streamed answer through two stand-ins. 200 streams at once stall still; under work.

--- /dev/null
+++ b/internal/config/workers.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/fsnotify/fsnotify"
+
+	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/roster"
+)
+
+// Worker is one line of the list of workers.
+type Worker struct {
+	ID      string     `json:"id"`
+	Address string     `json:"address"`
+	Zone    string     `json:"zone,omitempty"`
+	Kind    string     `json:"kind,omitempty"`
+	Cell    int        `json:"cell,omitempty"`
+	State   string     `json:"state,omitempty"`
+	Weight  float64    `json:"weight,omitempty"`
+	Started *time.Time `json:"started,omitempty"`
+}
+
+// WorkerList is the list of workers.
+type WorkerList struct {
+	Workers []Worker `json:"workers"`
+}
+
+// ParseWorkers checks a list of workers; name stands in errors. A list with anything wrong in it is refused
+// whole, so that a half-written one takes no worker out of service.
+func ParseWorkers(name string, raw []byte) (*WorkerList, error) {
+	if err := validate(name, raw, workersSchema); err != nil {
+		return nil, err
+	}
+	var l WorkerList
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return nil, &Invalid{name, []Problem{{"", err.Error()}}}
+	}
+	out := &Invalid{File: name}
+	seen := map[string]bool{}
+	for i, w := range l.Workers {
+		if seen[w.ID] {
+			out.Problems = append(out.Problems, Problem{fmt.Sprintf("/workers/%d/id", i), fmt.Sprintf("%q is named twice", w.ID)})
+		}
+		seen[w.ID] = true
+		if _, _, err := net.SplitHostPort(w.Address); err != nil {
+			out.Problems = append(out.Problems, Problem{fmt.Sprintf("/workers/%d/address", i), err.Error()})
+		}
+	}
+	if len(out.Problems) > 0 {
+		return nil, out
+	}
+	return &l, nil
+}
+
+// Roster converts the list; at gives the router's time for a moment.
+func (l *WorkerList) Roster(at func(time.Time) time.Duration) []roster.Worker {
+	states := map[string]brain.State{"": brain.On, "on": brain.On, "draining": brain.Draining, "gone": brain.Gone}
+	out := make([]roster.Worker, 0, len(l.Workers))
+	for _, w := range l.Workers {
+		m := brain.Member{ID: w.ID, Zone: w.Zone, Kind: w.Kind, Cell: w.Cell, State: states[w.State], Weight: w.Weight}
+		if w.Started != nil {
+			m.Started = at(*w.Started)
+		}
+		out = append(out, roster.Worker{Member: m, Address: w.Address})
+	}
+	return out
+}
+
+// WriteWorkers replaces a list in one step: a reader sees the old one or the new one whole.
+func WriteWorkers(path string, l WorkerList) error {
+	raw, err := json.MarshalIndent(l, "", " ")
+	if err != nil {
+		return err
+	}
+	tmp := path + ".new"
+	if err := os.WriteFile(tmp, raw, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(tmp, path)
+}
+
+// Follow calls list with the file's content now and after each change, and refused with what is wrong where
+// it can't be used; the list handed over before then stands. It returns when stop is closed.
+func Follow(path string, stop <-chan struct{}, list func(*WorkerList), refused func(error)) error {
+	watch, err := fsnotify.NewWatcher()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = watch.Close() }()
+	// The folder is watched, as a file that is replaced by rename is another file.
+	if err := watch.Add(filepath.Dir(path)); err != nil {
+		return fmt.Errorf("%s: %w", filepath.Dir(path), err)
+	}
+	last := ""
+	read := func() {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			refused(err)
+			return
+		}
+		if string(raw) == last {
+			return
+		}
+		l, err := ParseWorkers(path, raw)
+		if err != nil {
+			refused(err)
+			return
+		}
+		last = string(raw)
+		list(l)
+	}
+	read()
+	again := time.NewTicker(time.Second) // file events may be lost when many come at once
+	defer again.Stop()
+	for {
+		select {
+		case <-stop:
+			return nil
+		case e, ok := <-watch.Events:
+			if !ok {
+				return nil
+			}
+			if filepath.Clean(e.Name) == filepath.Clean(path) && !e.Has(fsnotify.Chmod) {
+				read()
+			}
+		case err, ok := <-watch.Errors:
+			if !ok {
+				return nil
+			}
+			refused(err)
+		case <-again.C:
+			read()
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,120 @@
+// Package gateway puts one gateway together from its settings: the router's loop, the connections to workers,
+// the fronts, and the list of workers that it follows.
+package gateway
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/config"
+	"github.com/topazfront/topazfront/internal/front/grpcfront"
+	"github.com/topazfront/topazfront/internal/roster"
+	"github.com/topazfront/topazfront/internal/router"
+	"github.com/topazfront/topazfront/internal/transport/http2"
+	"github.com/topazfront/topazfront/internal/upstream"
+)
+
+// Version is the program's.
+const Version = "0.2.0"
+
+// Options are what does not stand in a settings file.
+type Options struct {
+	Log     *slog.Logger
+	Decider func(brain.Settings, uint64) (router.Decider, error) // nil: the module
+	Tap     func(now time.Duration, events []brain.Event, actions []brain.Action)
+}
+
+// Gateway is one running gateway.
+type Gateway struct {
+	cfg    *config.Gateway
+	log    *slog.Logger
+	pool   *upstream.Pool
+	router *router.Router
+	front  *grpcfront.Front
+	stop   chan struct{}
+	once   sync.Once
+	wg     sync.WaitGroup
+}
+
+// Start runs a gateway until Stop.
+func Start(cfg *config.Gateway, o Options) (*Gateway, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	log := o.Log.With("router", cfg.Name)
+	h2 := http2.Config{MaxStreams: cfg.Limits.Streams, StreamWindow: cfg.Limits.StreamWindow}
+	g := &Gateway{cfg: cfg, log: log, stop: make(chan struct{})}
+	g.pool = upstream.New(upstream.Config{Router: cfg.Name, ConnectTimeout: cfg.Workers.ConnectTimeout.Duration(),
+		MaxConns: cfg.Workers.Connections, MaxMessage: cfg.Limits.MessageBytes, HTTP2: h2, Log: log})
+	var err error
+	g.router, err = router.New(router.Config{Name: cfg.Name, Seed: cfg.Seed, Brain: cfg.Settings(),
+		OrderTimeout: cfg.Loading.OrderTimeout.Duration(), ProbeTimeout: cfg.Workers.ProbeTimeout.Duration(),
+		Roster: roster.Settings{AskAfter: cfg.Workers.AskAfter.Duration()}, Decider: o.Decider, Log: log,
+		Tap: o.Tap}, g.pool)
+	if err != nil {
+		return nil, err
+	}
+	g.pool.Attach(g.router)
+	first := make(chan struct{})
+	var once sync.Once
+	g.wg.Go(func() {
+		err := config.Follow(cfg.Workers.File, g.stop, func(l *config.WorkerList) {
+			log.Info("list of workers", "workers", len(l.Workers))
+			g.router.SetWorkers(l.Roster(g.router.At))
+			once.Do(func() { close(first) })
+		}, func(err error) {
+			log.Warn("list of workers refused; the one before stands", "error", err)
+			once.Do(func() { close(first) })
+		})
+		if err != nil {
+			log.Error("list of workers is not followed", "error", err)
+		}
+		once.Do(func() { close(first) })
+	})
+	<-first
+	g.front, err = grpcfront.Listen(grpcfront.Config{Address: cfg.Listen, HTTP2: h2, Intake: cfg.Intake(),
+		Version: Version, Log: log}, g.router)
+	if err != nil {
+		g.once.Do(func() { close(g.stop) })
+		g.wg.Wait()
+		g.router.Stop()
+		return nil, err
+	}
+	log.Info("serving", "address", g.front.Addr(), "classes", len(cfg.Classes), "models", len(cfg.Models))
+	return g, nil
+}
+
+// Addr is the address of the gRPC front.
+func (g *Gateway) Addr() string { return g.front.Addr() }
+
+// Router is the gateway's router.
+func (g *Gateway) Router() *router.Router { return g.router }
+
+// Stop drains and ends the gateway: clients are told to go elsewhere, calls in hand get their final answers,
+// then all is closed. It returns what the router has done.
+func (g *Gateway) Stop() router.Stats {
+	g.once.Do(func() {
+		g.log.Info("draining", "calls", g.router.Stats().Open, "clients", g.front.Conns())
+		g.front.Drain()
+		g.router.Stop()
+		g.settle()
+		close(g.stop)
+		g.wg.Wait()
+		g.front.Close()
+		g.pool.Close()
+		g.log.Info("stopped")
+	})
+	return g.router.Stats()
+}
+
+// settle waits, not for long, for the last answers to leave for their clients.
+func (g *Gateway) settle() {
+	for range 200 {
+		if g.front.Streams() == 0 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,477 @@
+// Package router runs one router: a loop that owns the module (package brain), the book of calls and one
+// timer. Fronts hand it calls, the upstream hands it how attempts end, the list of workers hands it changes;
+// all through one queue. The loop drains what has come into one Step and carries out what the module decides.
+// It decides nothing itself.
+package router
+
+import (
+	"errors"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/oip"
+	"github.com/topazfront/topazfront/internal/roster"
+	"github.com/topazfront/topazfront/internal/transport/hpack"
+	"github.com/topazfront/topazfront/internal/wheel"
+)
+
+// Upstream carries out what goes to workers. Its methods are called by the loop and don't block; what comes
+// of them is told by the methods of Router named here.
+type Upstream interface {
+	// Send starts an attempt, which ends by one Router.AttemptEnded with the same token.
+	Send(token Token, c *Call, worker string, n int, left time.Duration) Attempt
+	// Load orders copies of a function held; it ends by one Router.OrderEnded.
+	Load(worker, model, version string, copies int, limit time.Duration, done func(Order))
+	// Ask asks a worker for its readiness and its load.
+	Ask(worker string, limit time.Duration, done func(Probe))
+	// Workers replaces the list: addresses by id. A worker that is not in it gets no new connections.
+	Workers(addresses map[string]string)
+}
+
+// Token names an attempt between router and upstream.
+type Token struct{ t *try }
+
+// Order is how a load order ended.
+type Order struct {
+	Result brain.Result
+	Copies int
+}
+
+// Probe is how a probe ended.
+type Probe struct {
+	Result brain.Result
+	Ready  bool
+	Report oip.Report
+}
+
+// Config is a router's share of the settings.
+type Config struct {
+	Name         string
+	Seed         uint64
+	Brain        brain.Settings
+	OrderTimeout time.Duration
+	ProbeTimeout time.Duration
+	Roster       roster.Settings
+	Decider      func(brain.Settings, uint64) (Decider, error) // nil: the module; baselines stand in for it
+	Log          *slog.Logger
+	Tap          func(now time.Duration, events []brain.Event, actions []brain.Action) // nil, or told of each Step
+}
+
+// Decider is what decides: the module, or a baseline behind the same events.
+type Decider interface {
+	Step(now time.Duration, events []brain.Event) []brain.Action
+}
+
+// Router is one router. Its exported methods may be called from any goroutine.
+type Router struct {
+	cfg   Config
+	up    Upstream
+	begin time.Time
+
+	mu      sync.Mutex
+	queue   []func() // what has come, each to be run by the loop
+	wake    chan struct{}
+	stopped bool
+	ended   chan struct{}
+
+	// Of the loop.
+	core    Decider
+	roster  *roster.Core
+	now     time.Duration
+	events  []brain.Event
+	calls   map[brain.RequestID]*entry
+	next    brain.RequestID
+	wheel   *wheel.Wheel
+	due     time.Duration // when the module asked to be woken; 0: not
+	quit    func()        // to be run once no call is left
+	fns     map[string]oip.Routed
+	members map[string]roster.Worker
+	stats   Stats
+}
+
+// Stats counts what a router has done.
+type Stats struct {
+	Calls, Served, Refused, Failed, Dropped uint64
+	Attempts, Orders, Probes                uint64
+	Open                                    int
+}
+
+// epoch is what the clock shows at a router's start, so that start times of workers lie in the past.
+const epoch = 1000 * time.Hour
+
+// New starts a router's loop. Stop ends it.
+func New(cfg Config, up Upstream) (*Router, error) {
+	if cfg.Decider == nil {
+		cfg.Decider = func(s brain.Settings, seed uint64) (Decider, error) { return brain.New(s, seed) }
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	core, err := cfg.Decider(cfg.Brain, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{cfg: cfg, up: up, begin: time.Now(), wake: make(chan struct{}, 1), ended: make(chan struct{}),
+		core: core, roster: roster.New(cfg.Roster), calls: map[brain.RequestID]*entry{},
+		wheel: wheel.New(time.Millisecond, epoch), fns: map[string]oip.Routed{}}
+	go r.loop()
+	return r, nil
+}
+
+// Clock is the router's time.
+func (r *Router) Clock() time.Duration { return epoch + time.Since(r.begin) }
+
+// At converts a moment to the router's time; one before its epoch is 0, long ago.
+func (r *Router) At(t time.Time) time.Duration { return max(epoch+t.Sub(r.begin), 0) }
+
+// post has the loop run f. It reports whether the loop still runs.
+func (r *Router) post(f func()) bool {
+	r.mu.Lock()
+	if r.stopped {
+		r.mu.Unlock()
+		return false
+	}
+	r.queue = append(r.queue, f)
+	first := len(r.queue) == 1
+	r.mu.Unlock()
+	if first {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+	return true
+}
+
+func (r *Router) loop() {
+	defer close(r.ended)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var batch []func()
+	for {
+		select {
+		case <-r.wake:
+		case <-timer.C:
+		}
+		r.mu.Lock()
+		batch, r.queue = r.queue, batch[:0]
+		r.mu.Unlock()
+		r.now = max(r.now, r.Clock())
+		for _, f := range batch {
+			f()
+		}
+		clear(batch)
+		r.wheel.Advance(r.now, func(t *wheel.Timer) {
+			if f, ok := t.Value.(func()); ok {
+				f()
+			}
+		})
+		if r.due > 0 && r.now >= r.due {
+			r.due = 0
+			r.events = append(r.events, brain.Woken{})
+		}
+		r.follow()
+		r.step()
+		if r.quit != nil && len(r.calls) == 0 {
+			r.mu.Lock()
+			r.stopped = true
+			rest := r.queue
+			r.queue = nil
+			r.mu.Unlock()
+			for _, f := range rest {
+				f()
+			}
+			if len(r.calls) == 0 {
+				r.quit()
+				return
+			}
+			r.mu.Lock()
+			r.stopped = false
+			r.mu.Unlock()
+		}
+		timer.Reset(r.sleep())
+	}
+}
+
+// sleep is how long until something comes due.
+func (r *Router) sleep() time.Duration {
+	next := r.now + time.Hour
+	if at, ok := r.wheel.Next(); ok {
+		next = min(next, at)
+	}
+	if r.due > 0 {
+		next = min(next, r.due)
+	}
+	if at, ok := r.roster.Due(); ok {
+		next = min(next, at)
+	}
+	return max(next-r.Clock(), 0)
+}
+
+// step hands what has come to the module and carries out its actions, until they bring nothing new.
+func (r *Router) step() {
+	for len(r.events) > 0 {
+		events := r.events
+		r.events = nil
+		actions := r.core.Step(r.now, events)
+		if r.cfg.Tap != nil {
+			r.cfg.Tap(r.now, events, actions)
+		}
+		for _, a := range actions {
+			r.act(a)
+		}
+	}
+}
+
+func (r *Router) act(a brain.Action) {
+	switch a := a.(type) {
+	case brain.Send:
+		r.send(a)
+	case brain.Cancel:
+		if e := r.calls[a.ID]; e != nil && a.Attempt >= 0 && a.Attempt < len(e.attempts) {
+			if t := e.attempts[a.Attempt]; !t.ended && e.answer != t {
+				t.handle.Cancel()
+			}
+		}
+	case brain.Refuse:
+		if e := r.calls[a.ID]; e != nil && e.refuse(a.After) {
+			r.stats.Refused++
+			r.closeCall(e)
+		}
+	case brain.Fail:
+		if e := r.calls[a.ID]; e != nil {
+			was := e.answer
+			if e.fail(r.now) {
+				r.stats.Failed++
+				if was != nil && !was.ended {
+					was.handle.Cancel() // nobody is left to take the rest of the stream
+				}
+				r.closeCall(e)
+			}
+		}
+	case brain.LoadOrder:
+		r.order(a)
+	case brain.Probe:
+		r.probe(a.Worker)
+	case brain.Wake:
+		r.due = r.now + a.After
+	case brain.Note:
+		r.cfg.Log.Info("module", "note", a.Text)
+	case brain.Watch: // the list comes by itself
+	}
+}
+
+// Calls -----------------------------------------------------------------------------------------------
+
+// Submit takes a call. It answers false when the router has stopped: nothing was taken.
+func (r *Router) Submit(c *Call) (drop func(), ok bool) {
+	e := &entry{call: c, came: r.Clock()}
+	e.deadline = e.came + c.Left
+	ok = r.post(func() {
+		r.next++
+		e.id = r.next
+		r.calls[e.id] = e
+		r.stats.Calls++
+		fn := c.Routed.Function()
+		if _, ok := r.fns[fn]; !ok {
+			r.fns[fn] = oip.Routed{Model: c.Routed.Model, Version: c.Routed.Version}
+		}
+		r.events = append(r.events, brain.Request{ID: e.id, Function: fn, Class: c.Class, Tenant: c.Tenant,
+			MemoryMB: c.MemoryMB, Lanes: c.Lanes, LoadTime: c.LoadTime, Work: c.Work,
+			Left: e.deadline - r.now})
+	})
+	return func() { r.post(func() { r.drop(e) }) }, ok
+}
+
+// drop takes a client's leaving: nothing is owed any more.
+func (r *Router) drop(e *entry) {
+	if e.state == done {
+		return
+	}
+	was := e.answer
+	e.state, e.dropped = done, true
+	r.stats.Dropped++
+	r.events = append(r.events, brain.Dropped{ID: e.id})
+	if was != nil && !was.ended {
+		was.handle.Cancel()
+	}
+	r.closeCall(e)
+}
+
+// closeCall forgets a call that has its final answer and no attempt out.
+func (r *Router) closeCall(e *entry) {
+	if e.state == done && e.out == 0 {
+		delete(r.calls, e.id)
+	}
+}
+
+func (r *Router) send(a brain.Send) {
+	e := r.calls[a.ID]
+	if e == nil {
+		r.events = append(r.events, brain.Outcome{ID: a.ID, Worker: a.Worker, Result: brain.NotSent, Final: true,
+			Company: -1, Load: brain.NoLoad})
+		return
+	}
+	t := &try{e: e, n: len(e.attempts), worker: a.Worker, sent: r.now}
+	e.attempts = append(e.attempts, t)
+	e.out++
+	left := e.deadline - r.now
+	if a.Timeout > 0 {
+		left = min(left, a.Timeout)
+	}
+	if e.state != waiting || left <= 0 {
+		r.end(t, Ended{Result: brain.NotSent, Report: oip.NoReport})
+		return
+	}
+	r.stats.Attempts++
+	r.cfg.Log.Debug("attempt", "call", e.id, "attempt", t.n, "worker", t.worker, "class", e.call.Class)
+	t.timer.Value = func() { r.late(t) }
+	r.wheel.Add(&t.timer, r.now+left)
+	t.handle = r.up.Send(Token{t}, e.call, a.Worker, t.n, left)
+}
+
+// late ends the wait for an attempt. Once a stream has begun only the module ends it.
+func (r *Router) late(t *try) {
+	if !t.ended && t.e.answer != t {
+		t.late = true
+		t.handle.Cancel()
+	}
+}
+
+// AttemptBegan tells that the first message of a streamed response has come.
+func (r *Router) AttemptBegan(token Token, metadata []hpack.Field) {
+	t := token.t
+	r.post(func() {
+		if t.e.began(t, metadata) {
+			r.events = append(r.events, brain.Started{ID: t.e.id, Attempt: t.n, Worker: t.worker,
+				Took: r.now - t.sent})
+		}
+	})
+}
+
+// AttemptEnded tells how an attempt ended.
+func (r *Router) AttemptEnded(token Token, how Ended) {
+	r.post(func() { r.end(token.t, how) })
+}
+
+func (r *Router) end(t *try, how Ended) {
+	if t.ended {
+		return
+	}
+	r.wheel.Remove(&t.timer)
+	if t.late && how.Result == brain.Cancelled {
+		how.Result = brain.TimedOut
+	}
+	e := t.e
+	was := e.state
+	final := e.ended(t, how)
+	if final && was != done {
+		if how.Result == brain.OK {
+			r.stats.Served++
+		} else {
+			r.stats.Failed++
+		}
+	}
+	company := -1
+	if how.Report.Company >= 0 {
+		company = int(how.Report.Company)
+	}
+	r.events = append(r.events, brain.Outcome{ID: e.id, Attempt: t.n, Worker: t.worker, Result: how.Result,
+		Took: r.now - t.sent, Final: final, Warmth: brain.Warmth(how.Report.Warmth), Company: company,
+		Load: load(how.Report)})
+	if how.Drains {
+		r.roster.Drains(r.now, t.worker)
+	}
+	r.closeCall(e)
+}
+
+func load(p oip.Report) brain.Load {
+	return brain.Load{InFlight: p.InFlight, Queue: p.Queue, Loading: p.Loading}
+}
+
+// Orders and probes -----------------------------------------------------------------------------------
+
+func (r *Router) order(a brain.LoadOrder) {
+	fn, begin := r.fns[a.Function], r.now
+	r.stats.Orders++
+	r.cfg.Log.Debug("order", "worker", a.Worker, "model", fn.Model, "copies", a.Copies)
+	r.up.Load(a.Worker, fn.Model, fn.Version, a.Copies, r.cfg.OrderTimeout, func(o Order) {
+		r.post(func() {
+			r.events = append(r.events, brain.Loaded{Worker: a.Worker, Function: a.Function, Result: o.Result,
+				Took: r.now - begin, Copies: o.Copies})
+		})
+	})
+}
+
+func (r *Router) probe(worker string) {
+	begin := r.now
+	r.stats.Probes++
+	r.up.Ask(worker, r.cfg.ProbeTimeout, func(p Probe) {
+		r.post(func() {
+			r.events = append(r.events, brain.Probed{Worker: worker, Result: p.Result, Took: r.now - begin,
+				Load: load(p.Report)})
+		})
+	})
+}
+
+// List ------------------------------------------------------------------------------------------------
+
+// SetWorkers hands the router a new whole list.
+func (r *Router) SetWorkers(list []roster.Worker) {
+	r.post(func() { r.roster.List(r.now, list) })
+}
+
+// WorkerDrains tells that a worker itself said that it takes nothing new.
+func (r *Router) WorkerDrains(worker string) {
+	r.post(func() { r.roster.Drains(r.now, worker) })
+}
+
+// follow hands what the roster's core decides to the module and the upstream.
+func (r *Router) follow() {
+	out := r.roster.Step(r.now)
+	if out.List != nil {
+		members := make([]brain.Member, 0, len(out.List))
+		addresses := map[string]string{}
+		for _, w := range out.List {
+			m := w.Member
+			members = append(members, m)
+			addresses[m.ID] = w.Address
+		}
+		r.up.Workers(addresses)
+		r.events = append(r.events, brain.Roster{Whole: true, Members: members})
+	}
+	for _, id := range out.Ask {
+		r.up.Ask(id, r.cfg.ProbeTimeout, func(p Probe) {
+			r.post(func() { r.roster.Asked(r.now, id, p.Result == brain.OK && p.Ready) })
+		})
+	}
+}
+
+// Life ------------------------------------------------------------------------------------------------
+
+// Stats tells what the router has done so far.
+func (r *Router) Stats() Stats {
+	got := make(chan Stats, 1)
+	if !r.post(func() { s := r.stats; s.Open = len(r.calls); got <- s }) {
+		<-r.ended
+		return r.stats
+	}
+	return <-got
+}
+
+// ErrStopped tells that a router has ended.
+var ErrStopped = errors.New("router: stopped")
+
+// Stop ends the loop once every call in hand has its final answer and no attempt is out; fronts must have
+// stopped taking calls. It returns when the loop has ended.
+func (r *Router) Stop() {
+	r.post(func() { r.quit = func() {} })
+	<-r.ended
+}
+
+func millis(d time.Duration) string {
+	return strconv.FormatInt(max(d, 0).Milliseconds(), 10)
+}
--- /dev/null
+++ b/internal/transport/hpack/hpack.go
@@ -0,0 +1,331 @@
+// Package hpack is the header compression of HTTP/2 (RFC 7541). An [Encoder] and a [Decoder] hold the state
+// of one direction of one connection and belong to one goroutine at a time. Decoded strings are the
+// caller's for good; blocks passed in are not kept.
+package hpack
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Field is one header field. Sensitive fields are never indexed (RFC 7541, section 7.1.3).
+type Field struct {
+	Name, Value string
+	Sensitive   bool
+}
+
+// Size is what the field counts in a table or a header list: 32 more than its bytes (RFC 7541, section 4.1).
+func (f Field) Size() int { return len(f.Name) + len(f.Value) + 32 }
+
+// DefaultTable is the size of the dynamic table that both ends start with, in bytes.
+const DefaultTable = 4096
+
+// table is a dynamic table: a ring with the newest entry last.
+type table struct {
+	entries   []Field // oldest first
+	size, max int
+}
+
+func (t *table) add(f Field) (evicted int) {
+	f.Sensitive = false
+	t.entries = append(t.entries, f)
+	t.size += f.Size()
+	return t.shrink()
+}
+
+// shrink evicts the oldest entries until the table fits. An entry larger than the table empties it, which is
+// no error (RFC 7541, section 4.4).
+func (t *table) shrink() (evicted int) {
+	for t.size > t.max && evicted < len(t.entries) {
+		t.size -= t.entries[evicted].Size()
+		evicted++
+	}
+	if evicted > 0 {
+		n := copy(t.entries, t.entries[evicted:])
+		clear(t.entries[n:])
+		t.entries = t.entries[:n]
+	}
+	return evicted
+}
+
+// at returns the entry with an index of the joint space: the static table from 1, the newest dynamic entry
+// after it.
+func (t *table) at(i uint64) (Field, bool) {
+	switch n := uint64(len(t.entries)); {
+	case i == 0 || i > uint64(len(static))+n:
+		return Field{}, false
+	case i <= uint64(len(static)):
+		return static[i-1], true
+	default:
+		return t.entries[n-(i-uint64(len(static)))], true
+	}
+}
+
+// Errors of a block. Each is a COMPRESSION_ERROR of the connection, as the two ends' tables no longer agree,
+// but for ErrTooLarge, after which the state is whole.
+var (
+	ErrTruncated = errors.New("hpack: block ends within a field")
+	ErrIndex     = errors.New("hpack: index outside the tables")
+	ErrInteger   = errors.New("hpack: integer too large")
+	ErrUpdate    = errors.New("hpack: table size update larger than allowed, or behind a field")
+	ErrTooLarge  = errors.New("hpack: header list larger than allowed")
+)
+
+// Decoder reads header blocks.
+type Decoder struct {
+	table   table
+	allowed int // most that the peer may set the table to: our SETTINGS_HEADER_TABLE_SIZE
+	maxList int
+	scratch []byte
+}
+
+// NewDecoder returns a Decoder whose table may have up to maxTable bytes and whose lists up to maxList, both
+// counted as [Field.Size] does.
+func NewDecoder(maxTable, maxList int) *Decoder {
+	return &Decoder{table: table{max: min(maxTable, DefaultTable)}, allowed: maxTable, maxList: maxList}
+}
+
+// Decode appends the fields of one whole block to dst. On ErrTooLarge the block was read to its end, so
+// that the next one can be read, but the fields beyond the bound are left out.
+func (d *Decoder) Decode(dst []Field, block []byte) ([]Field, error) {
+	list, began, tooLarge := 0, false, false
+	for len(block) > 0 {
+		b := block[0]
+		if b&0xe0 == 0x20 { // 6.3 dynamic table size update
+			n, rest, err := integer(block, 5)
+			if err != nil {
+				return dst, err
+			}
+			if began || n > uint64(d.allowed) {
+				return dst, ErrUpdate
+			}
+			d.table.max = int(n)
+			d.table.shrink()
+			block = rest
+			continue
+		}
+		began = true
+		var f Field
+		var err error
+		switch {
+		case b&0x80 != 0: // 6.1 indexed field
+			var i uint64
+			if i, block, err = integer(block, 7); err != nil {
+				return dst, err
+			}
+			var ok bool
+			if f, ok = d.table.at(i); !ok {
+				return dst, fmt.Errorf("%w: %d", ErrIndex, i)
+			}
+		case b&0xc0 == 0x40: // 6.2.1 literal with incremental indexing
+			if f, block, err = d.literal(block, 6); err != nil {
+				return dst, err
+			}
+			d.table.add(f)
+		default: // 6.2.2 and 6.2.3, literal without indexing or never indexed
+			if f, block, err = d.literal(block, 4); err != nil {
+				return dst, err
+			}
+			f.Sensitive = b&0x10 != 0
+		}
+		if list += f.Size(); list > d.maxList {
+			tooLarge = true // guards against a bomb: many references to one large entry
+			continue
+		}
+		dst = append(dst, f)
+	}
+	if tooLarge {
+		return dst, ErrTooLarge
+	}
+	return dst, nil
+}
+
+func (d *Decoder) literal(block []byte, prefix uint8) (Field, []byte, error) {
+	i, block, err := integer(block, prefix)
+	if err != nil {
+		return Field{}, nil, err
+	}
+	var f Field
+	if i > 0 {
+		named, ok := d.table.at(i)
+		if !ok {
+			return Field{}, nil, fmt.Errorf("%w: %d", ErrIndex, i)
+		}
+		f.Name = named.Name
+	} else if f.Name, block, err = d.text(block); err != nil {
+		return Field{}, nil, err
+	}
+	f.Value, block, err = d.text(block)
+	return f, block, err
+}
+
+func (d *Decoder) text(block []byte) (string, []byte, error) {
+	if len(block) == 0 {
+		return "", nil, ErrTruncated
+	}
+	coded := block[0]&0x80 != 0
+	n, rest, err := integer(block, 7)
+	if err != nil {
+		return "", nil, err
+	}
+	if n > uint64(len(rest)) {
+		return "", nil, ErrTruncated
+	}
+	raw, rest := rest[:n], rest[n:]
+	if !coded {
+		return string(raw), rest, nil
+	}
+	if d.scratch, err = appendHuffman(d.scratch[:0], raw); err != nil {
+		return "", nil, err
+	}
+	return string(d.scratch), rest, nil
+}
+
+// integer reads an integer with a prefix of so many bits (RFC 7541, section 5.1).
+func integer(b []byte, prefix uint8) (uint64, []byte, error) {
+	if len(b) == 0 {
+		return 0, nil, ErrTruncated
+	}
+	limit := uint64(1)<<prefix - 1
+	n := uint64(b[0]) & limit
+	if n < limit {
+		return n, b[1:], nil
+	}
+	for i, shift := 1, 0; i < len(b); i, shift = i+1, shift+7 {
+		if shift > 28 {
+			return 0, nil, ErrInteger
+		}
+		n += uint64(b[i]&0x7f) << shift
+		if b[i]&0x80 == 0 {
+			return n, b[i+1:], nil
+		}
+	}
+	return 0, nil, ErrTruncated
+}
+
+func appendInteger(dst []byte, first byte, prefix uint8, n uint64) []byte {
+	limit := uint64(1)<<prefix - 1
+	if n < limit {
+		return append(dst, first|byte(n))
+	}
+	dst = append(dst, first|byte(limit))
+	for n -= limit; n >= 0x80; n >>= 7 {
+		dst = append(dst, byte(n)|0x80)
+	}
+	return append(dst, byte(n))
+}
+
+func appendText(dst []byte, s string) []byte {
+	if n := huffmanLen(s); n < len(s) {
+		return encodeHuffman(appendInteger(dst, 0x80, 7, uint64(n)), s)
+	}
+	return append(appendInteger(dst, 0, 7, uint64(len(s))), s...)
+}
+
+// pair is a field's name and value as a key of an index.
+type pair struct{ name, value string }
+
+// staticPairs and staticNames find the lowest index of the static table.
+var staticPairs, staticNames = func() (map[pair]uint64, map[string]uint64) {
+	pairs, names := map[pair]uint64{}, map[string]uint64{}
+	for i, f := range static {
+		pairs[pair{f.Name, f.Value}] = uint64(i + 1)
+		if names[f.Name] == 0 {
+			names[f.Name] = uint64(i + 1)
+		}
+	}
+	return pairs, names
+}()
+
+// Encoder writes header blocks.
+type Encoder struct {
+	table  table
+	added  uint64          // entries added so far; entry number n is the n-th
+	pairs  map[pair]uint64 // number of the newest entry with that pair
+	resize bool
+	least  int // smallest size set since the last block
+}
+
+// NewEncoder returns an Encoder with a table of the default size.
+func NewEncoder() *Encoder {
+	return &Encoder{table: table{max: DefaultTable}, pairs: map[pair]uint64{}}
+}
+
+// SetTable follows the peer's SETTINGS_HEADER_TABLE_SIZE, in bytes. The next block tells the peer.
+func (e *Encoder) SetTable(n int) {
+	n = min(n, 1<<16) // a larger table would be the peer's to pay for, but ours to keep
+	if n == e.table.max {
+		return
+	}
+	if !e.resize || n < e.least {
+		e.least = n
+	}
+	e.resize = true
+	e.table.max = n
+	e.drop(e.table.shrink())
+}
+
+// drop forgets the index entries of evicted fields, which were the oldest.
+func (e *Encoder) drop(evicted int) {
+	if evicted == 0 {
+		return
+	}
+	oldest := e.added - uint64(len(e.table.entries)) + 1
+	for k, n := range e.pairs {
+		if n < oldest {
+			delete(e.pairs, k)
+		}
+	}
+}
+
+// Begin appends what must stand at the head of a block: table size updates that are due.
+func (e *Encoder) Begin(dst []byte) []byte {
+	if !e.resize {
+		return dst
+	}
+	e.resize = false
+	if e.least < e.table.max {
+		dst = appendInteger(dst, 0x20, 5, uint64(e.least))
+	}
+	return appendInteger(dst, 0x20, 5, uint64(e.table.max))
+}
+
+// Append appends one field. Fields marked Sensitive, and values that hardly repeat, are not indexed.
+func (e *Encoder) Append(dst []byte, f Field) []byte {
+	k := pair{f.Name, f.Value}
+	if !f.Sensitive {
+		if i := staticPairs[k]; i > 0 {
+			return appendInteger(dst, 0x80, 7, i)
+		}
+		if n, ok := e.pairs[k]; ok {
+			return appendInteger(dst, 0x80, 7, uint64(len(static))+e.added-n+1)
+		}
+	}
+	name := staticNames[f.Name]
+	switch {
+	case f.Sensitive:
+		dst = appendInteger(dst, 0x10, 4, name)
+	case fleeting(f) || f.Size() > e.table.max/4:
+		dst = appendInteger(dst, 0, 4, name)
+	default:
+		dst = appendInteger(dst, 0x40, 6, name)
+		e.added++
+		e.pairs[k] = e.added
+		e.drop(e.table.add(f))
+	}
+	if name == 0 {
+		dst = appendText(dst, f.Name)
+	}
+	return appendText(dst, f.Value)
+}
+
+// fleeting tells of fields whose values differ from call to call; in the table they would push out those
+// that repeat.
+func fleeting(f Field) bool {
+	switch f.Name {
+	case "grpc-timeout", "grpc-message", "content-length", "endpoint-load-metrics-bin", "idempotency-key",
+		"grpc-retry-pushback-ms", "topazfront-call":
+		return true
+	}
+	return false
+}
