--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,17 @@
 	return g.router.Stats()
 }
 
+// Kill ends the gateway as the death of its process would: connections break, nothing more is answered.
+func (g *Gateway) Kill() {
+	g.once.Do(func() {
+		g.router.Kill()
+		g.front.Close()
+		g.pool.Close()
+		close(g.stop)
+		g.wg.Wait()
+	})
+}
+
 // settle waits, not for long, for the last answers to leave for their clients.
 func (g *Gateway) settle() {
 	for range 200 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -87,6 +87,7 @@
 	wheel   *wheel.Wheel
 	due     time.Duration // when the module asked to be woken; 0: not
 	quit    func()        // to be run once no call is left
+	killed  bool
 	fns     map[string]oip.Routed
 	members map[string]roster.Worker
 	stats   Stats
@@ -164,6 +165,12 @@
 			f()
 		}
 		clear(batch)
+		if r.killed {
+			r.mu.Lock()
+			r.stopped, r.queue = true, nil
+			r.mu.Unlock()
+			return
+		}
 		r.wheel.Advance(r.now, func(t *wheel.Timer) {
 			if f, ok := t.Value.(func()); ok {
 				f()
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -152,26 +152,35 @@
 // drains checks rule 3: nothing new goes to a worker later than the grace after its router was told.
 func (c *checker) drains() {
 	type pair struct{ router, worker string }
-	told := map[pair]time.Duration{}
+	told, said := map[pair]time.Duration{}, map[pair]time.Duration{}
+	note := func(in map[pair]time.Duration, p pair, at time.Duration) {
+		if _, ok := in[p]; !ok {
+			in[p] = at
+		}
+	}
 	for _, r := range c.records {
 		p := pair{r.Router, r.Worker}
 		switch r.Kind {
 		case Told:
-			if !r.Off {
-				delete(told, p)
-			} else if _, ok := told[p]; !ok {
-				told[p] = r.At
+			if r.Off {
+				note(told, p, r.At)
+				continue
 			}
+			delete(told, p)
+			delete(said, p)
 		case Said:
-			if _, ok := told[p]; !ok {
-				told[p] = r.At
-			}
+			note(said, p, r.At)
+		case Ready:
+			delete(said, p) // its own word alone: what the list has told stands
 		case Got, Ordered:
 			if r.Kind == Ordered && r.Copies == 0 {
 				continue // asking does not count
 			}
-			if at, ok := told[p]; ok && r.At > at+c.site.DrainGrace+c.site.Slack {
-				c.breach(3, r.At, "%s sent to %s %v after it was told that it drains", r.Router, r.Worker, r.At-at)
+			for _, in := range []map[pair]time.Duration{told, said} {
+				if at, ok := in[p]; ok && r.At > at+c.site.DrainGrace+c.site.Slack {
+					c.breach(3, r.At, "%s sent to %s %v after it was told that it drains", r.Router, r.Worker, r.At-at)
+					break
+				}
 			}
 		}
 	}
--- a/internal/rules/record.go
+++ b/internal/rules/record.go
@@ -19,7 +19,8 @@
 	Ran                    // and began to run it
 	Ordered                // a worker received a load order of Copies copies
 	Told                   // the list told a router of a worker's state
-	Said                   // a worker told a router that it drains
+	Said                   // a worker told a router that it drains,
+	Ready                  // and that it is ready
 	Started                // a worker's process began
 	Fell                   // a cold worker fell over
 	RouterDown             // a router was killed; what it held is its clients' to repeat
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -148,6 +148,9 @@
 		if w.faults.Hang || w.fallen {
 			return
 		}
+		if !w.draining {
+			w.record(rules.Record{Kind: rules.Ready, Worker: w.cfg.ID, Router: r.router})
+		}
 		r.unary(&inference.ServerReadyResponse{Ready: !w.draining}, w.report(nil))
 	case oip.Index:
 		out := &inference.RepositoryIndexResponse{}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -264,6 +264,13 @@
 	}
 }
 
+// Down tells whether the process is dead.
+func (w *Worker) Down() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
+}
+
 // Held tells how many calls the worker holds, and Served how many it has answered.
 func (w *Worker) Held() int {
 	w.mu.Lock()
