--- a/internal/transport/hpack/hpack.go
+++ b/internal/transport/hpack/hpack.go
@@ -285,7 +285,11 @@
 	}
 	e.resize = false
 	if e.least < e.table.max {
-		dst = appendInteger(dst, 0x20, 5, uint64(e.least))
+		// The smallest size must be told first (RFC 7541, section 4.2). Some decoders take a second update
+		// only with their table empty, so it is emptied: 0 is told in place of the smallest.
+		dst = appendInteger(dst, 0x20, 5, 0)
+		e.table.entries, e.table.size = nil, 0
+		clear(e.pairs)
 	}
 	return appendInteger(dst, 0x20, 5, uint64(e.table.max))
 }
