--- /dev/null
+++ b/internal/day/day_test.go
@@ -0,0 +1,170 @@
+package day
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/router"
+)
+
+func TestBuiltInDaysAreSound(t *testing.T) {
+	if len(Names()) < 4 {
+		t.Fatalf("only %v", Names())
+	}
+	for _, n := range Names() {
+		if _, err := Load(n); err != nil {
+			t.Error(err)
+		}
+	}
+	s, err := Load("bad-day")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[string]bool{}
+	for _, x := range s.Trouble {
+		kinds[x.Kind] = true
+	}
+	if len(kinds) < 8 {
+		t.Errorf("the bad day has %d kinds of trouble", len(kinds))
+	}
+}
+
+func TestBadScriptsAreNamed(t *testing.T) {
+	good, err := built.ReadFile("days/demo.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{`"length_s": 12`, `"length_s": -1`, "length_s"},
+		{`"kind": "hang"`, `"kind": "hung"`, `troubles[0].kind: "hung"`},
+		{`"routers": 2`, `"routes": 2`, "routes"},
+		{`"class": "points"`, `"class": "point"`, "troubles[2].class"},
+		{`"seed": 7,`, `"seed": 7`, "line 5"},
+	} {
+		_, err := Parse("x.json", []byte(strings.Replace(string(good), c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.HasPrefix(err.Error(), "x.json") {
+			t.Errorf("%s: %v, want it to name %s", c.to, err, c.want)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none.json")); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("no file: %v", err)
+	}
+}
+
+// small is a short day for the tests, without troubles.
+func small(seconds Seconds) *Script {
+	s, err := Load("demo")
+	if err != nil {
+		panic(err)
+	}
+	s.Length, s.Trouble = seconds, nil
+	s.Traffic.Rate = 80
+	return s
+}
+
+// mutant changes what the module is told and what becomes of its actions.
+type mutant struct {
+	router.Decider
+	event  func(brain.Event) brain.Event
+	action func(brain.Action) bool // false: swallowed
+}
+
+func (m mutant) Step(now time.Duration, events []brain.Event) []brain.Action {
+	if m.event != nil {
+		for i := range events {
+			events[i] = m.event(events[i])
+		}
+	}
+	out := m.Decider.Step(now, events)
+	if m.action == nil {
+		return out
+	}
+	kept := out[:0]
+	for _, a := range out {
+		if m.action(a) {
+			kept = append(kept, a)
+		}
+	}
+	return kept
+}
+
+// TestCheckerCatchesEachRuleBroken plays the same short day with the module as it is, which keeps all rules,
+// and with one part of the router broken on purpose, which the checker must see at the sockets.
+func TestCheckerCatchesEachRuleBroken(t *testing.T) {
+	cases := []struct {
+		rule     int
+		script   func(*Script)
+		settings func(*brain.Settings)
+		event    func(brain.Event) brain.Event
+		action   func(brain.Action) bool
+	}{
+		{rule: 1, script: func(s *Script) {
+			s.Trouble = []Trouble{{Kind: "hang", At: 0.5, For: 5, Part: 0.34}}
+		}, action: func(a brain.Action) bool { // no failure reaches its client
+			_, fail := a.(brain.Fail)
+			_, refuse := a.(brain.Refuse)
+			return !fail && !refuse
+		}},
+		{rule: 2, script: func(s *Script) {
+			s.Classes[2].Streamed, s.Classes[2].Share = 1, 1
+			s.Trouble = []Trouble{{Kind: "mid_stream", At: 0.5, For: 1, Part: 0.5, Class: "points"}}
+		}, settings: func(s *brain.Settings) { // what may have run is sent again
+			for i := range s.Classes {
+				s.Classes[i].Effect = brain.Safe
+			}
+		}},
+		{rule: 3, script: func(s *Script) {
+			s.Trouble = []Trouble{{Kind: "preempt", At: 0.3, For: 1, Part: 0.5, Size: 2.5}}
+		}, event: func(e brain.Event) brain.Event { // drains are not heard
+			if l, ok := e.(brain.Roster); ok {
+				for i := range l.Members {
+					l.Members[i].State = brain.On
+				}
+			}
+			return e
+		}},
+		{rule: 4, script: func(s *Script) {
+			s.Fleet.Workers, s.Rules.ColdShare, s.Rules.FallMultiple, s.Rules.ColdFor = 3, 0.05, 1.1, 8
+			s.Traffic.Rate = 150
+			s.Trouble = []Trouble{{Kind: "vanish", At: 0.3, For: 0.5, Part: 0.34}}
+		}, settings: func(s *brain.Settings) { s.ColdFor = 0 }}, // a fresh start is taken for warm
+		{rule: 5, script: func(s *Script) {
+			s.Fleet.OnMiss, s.Rules.LoadFree, s.Rules.LoadShare = "refuse", 1, 0.02
+		}, settings: func(s *brain.Settings) { s.LoadSpan = 0 }}, // no ration
+	}
+	for _, c := range cases {
+		for _, broken := range []bool{false, true} {
+			t.Run(fmt.Sprintf("rule %d, broken %v", c.rule, broken), func(t *testing.T) {
+				t.Parallel()
+				s := small(4)
+				c.script(s)
+				var o Options
+				if broken {
+					o.Decider = func(set brain.Settings, seed uint64) (router.Decider, error) {
+						if c.settings != nil {
+							c.settings(&set)
+						}
+						d, err := brain.New(set, seed)
+						return mutant{d, c.event, c.action}, err
+					}
+				}
+				r, err := Play(s, o)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if broken && r.Rules[c.rule-1] == 0 {
+					t.Errorf("rule %d was broken on purpose and the checker saw nothing; breaches by rule %v", c.rule, r.Rules)
+				}
+				if !broken && !r.Kept() {
+					t.Errorf("rules broken: %v", r.Breaches)
+				}
+			})
+		}
+	}
+}
