--- a/internal/day/rig.go
+++ b/internal/day/rig.go
@@ -289,7 +289,8 @@
 		r.log.Add(rules.Record{Kind: rules.Told, Router: name, Worker: id, Off: !on})
 	}
 	sl.mu.Unlock()
-	g, err := gateway.Start(r.settings(sl), gateway.Options{Log: r.opt.Log, Decider: r.opt.Decider})
+	g, err := gateway.Start(r.settings(sl), gateway.Options{Log: r.opt.Log, Decider: r.opt.Decider,
+		Drain: 2 * time.Second}) // nothing is in hand by then, unless a rule is broken
 	if err != nil {
 		return err
 	}
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"embed"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io/fs"
 	"os"
@@ -156,7 +157,12 @@
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
-		line := 1 + bytes.Count(raw[:min(int(dec.InputOffset()), len(raw))], []byte("\n"))
+		at := dec.InputOffset()
+		var se *json.SyntaxError
+		if errors.As(err, &se) {
+			at = se.Offset
+		}
+		line := 1 + bytes.Count(raw[:min(int(at), len(raw))], []byte("\n"))
 		return nil, fmt.Errorf("%s: line %d: %w", name, line, err)
 	}
 	if err := s.check(); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 type Options struct {
 	Log     *slog.Logger
 	Decider func(brain.Settings, uint64) (router.Decider, error) // nil: the module
+	Drain   time.Duration                                        // most that Stop waits for calls in hand; 0: a minute
 	Tap     func(now time.Duration, events []brain.Event, actions []brain.Action)
 }
 
@@ -33,6 +34,7 @@
 	pool   *upstream.Pool
 	router *router.Router
 	front  *grpcfront.Front
+	drain  time.Duration
 	stop   chan struct{}
 	once   sync.Once
 	wg     sync.WaitGroup
@@ -45,7 +47,10 @@
 	}
 	log := o.Log.With("router", cfg.Name)
 	h2 := http2.Config{MaxStreams: cfg.Limits.Streams, StreamWindow: cfg.Limits.StreamWindow}
-	g := &Gateway{cfg: cfg, log: log, stop: make(chan struct{})}
+	g := &Gateway{cfg: cfg, log: log, stop: make(chan struct{}), drain: o.Drain}
+	if g.drain == 0 {
+		g.drain = time.Minute
+	}
 	g.pool = upstream.New(upstream.Config{Router: cfg.Name, ConnectTimeout: cfg.Workers.ConnectTimeout.Duration(),
 		MaxConns: cfg.Workers.Connections, MaxMessage: cfg.Limits.MessageBytes, HTTP2: h2, Log: log})
 	var err error
@@ -79,7 +84,7 @@
 	if err != nil {
 		g.once.Do(func() { close(g.stop) })
 		g.wg.Wait()
-		g.router.Stop()
+		g.router.Kill()
 		return nil, err
 	}
 	log.Info("serving", "address", g.front.Addr(), "classes", len(cfg.Classes), "models", len(cfg.Models))
@@ -98,7 +103,9 @@
 	g.once.Do(func() {
 		g.log.Info("draining", "calls", g.router.Stats().Open, "clients", g.front.Conns())
 		g.front.Drain()
-		g.router.Stop()
+		if lost := g.router.Stop(g.drain); lost > 0 {
+			g.log.Error("stopped with calls that had no final answer", "calls", lost)
+		}
 		g.settle()
 		close(g.stop)
 		g.wg.Wait()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -473,10 +473,22 @@
 var ErrStopped = errors.New("router: stopped")
 
 // Stop ends the loop once every call in hand has its final answer and no attempt is out; fronts must have
-// stopped taking calls. It returns when the loop has ended.
-func (r *Router) Stop() {
+// stopped taking calls. It returns when the loop has ended. After limit it is ended all the same, and Stop
+// tells how many calls were then without an answer.
+func (r *Router) Stop(limit time.Duration) (lost int) {
 	r.post(func() { r.quit = func() {} })
-	<-r.ended
+	select {
+	case <-r.ended:
+		return 0
+	case <-time.After(limit):
+	}
+	r.Kill()
+	for _, e := range r.calls {
+		if e.state != done {
+			lost++
+		}
+	}
+	return lost
 }
 
 func millis(d time.Duration) string {
