--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,166 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/topazfront/topazfront/brain"
+)
+
+const good = `{"listen": "127.0.0.1:9000", "workers": {"file": "w.json"},
+ "classes": [{"name": "quote", "aim_ms": 1000, "deadline_ms": 3000, "effect": "safe"},
+  {"name": "renew", "aim_ms": 800, "deadline_ms": 3000, "effect": "keyed", "scope": "cell", "window_ms": 6000}],
+ "models": {"q": {"class": "quote", "memory_mb": 100, "lanes": 2}}}`
+
+func TestGoodSettings(t *testing.T) {
+	g, err := Parse("g.json", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := g.Settings()
+	if len(s.Classes) != 2 || s.Classes[1].Effect != brain.Keyed || s.Classes[1].Scope != brain.ScopeCell ||
+		s.Classes[1].Window != 6*time.Second || s.MaxAttempts != 5 || !s.MayCancel {
+		t.Errorf("%+v", s)
+	}
+	if _, err := brain.New(s, 1); err != nil {
+		t.Error(err)
+	}
+	if in := g.Intake(); in.Models["q"].Lanes != 2 || in.Deadlines["quote"] != 3*time.Second {
+		t.Errorf("%+v", in)
+	}
+}
+
+// TestWrongValuesAreNamedByTheirPath changes one thing at a time.
+func TestWrongValuesAreNamedByTheirPath(t *testing.T) {
+	for _, c := range []struct{ from, to, path string }{
+		{`"listen": "127.0.0.1:9000"`, `"listen": "9000"`, "/listen"},
+		{`"listen": "127.0.0.1:9000"`, `"listen": 9000`, "/listen"},
+		{`"listen"`, `"lisen"`, "/lisen"},
+		{`"aim_ms": 1000`, `"aim_ms": "soon"`, "/classes/0/aim_ms"},
+		{`"aim_ms": 1000`, `"aim_ms": 9000`, "/classes/0/deadline_ms"},
+		{`"aim_ms": 1000`, `"aim_ms": -1`, "/classes/0/aim_ms"},
+		{`"effect": "safe"`, `"effect": "harmless"`, "/classes/0/effect"},
+		{`"window_ms": 6000`, `"window_ms": 0`, "/classes/1"},
+		{`"name": "renew"`, `"name": "quote"`, "/classes/1/name"},
+		{`"class": "quote"`, `"class": "quotes"`, "/models/q/class"},
+		{`"lanes": 2`, `"lanes": 0`, "/models/q/lanes"},
+		{`"lanes": 2`, `"lanes": 2, "speed": 1`, "/models/q/speed"},
+		{`"models": {"q": {"class": "quote", "memory_mb": 100, "lanes": 2}}`, `"models": {}`, "/"},
+		{`"workers": {"file": "w.json"},`, ``, "/"},
+		{`"effect": "safe"},`, `"effect": "safe"}`, "line 3"},
+		{`"lanes": 2}}}`, `"lanes": 2`, "line 4"},
+	} {
+		_, err := Parse("g.json", []byte(strings.Replace(good, c.from, c.to, 1)))
+		var bad *Invalid
+		if !errors.As(err, &bad) || !strings.Contains(err.Error(), c.path) || !strings.HasPrefix(err.Error(), "g.json: ") {
+			t.Errorf("%s: %v, want it to name %s", c.to, err, c.path)
+		}
+	}
+}
+
+const list = `{"workers": [{"id": "w1", "address": "127.0.0.1:1", "kind": "box", "cell": 2, "state": "draining",
+ "started": "2026-12-01T08:00:00Z"}, {"id": "w2", "address": "127.0.0.1:2"}]}`
+
+func TestWorkerLists(t *testing.T) {
+	l, err := ParseWorkers("w.json", []byte(list))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := l.Roster(func(time.Time) time.Duration { return 7 })
+	if len(got) != 2 || got[0].State != brain.Draining || got[0].Started != 7 || got[0].Cell != 2 || got[1].State != brain.On {
+		t.Errorf("%+v", got)
+	}
+	for _, c := range []struct{ from, to, path string }{
+		{`"w2"`, `"w1"`, "/workers/1/id"},
+		{`127.0.0.1:2`, `nowhere`, "/workers/1/address"},
+		{`draining`, `tired`, "/workers/0/state"},
+		{`2026-12-01T08:00:00Z`, `this morning`, "/workers/0/started"},
+		{`"id": "w1",`, ``, "/workers/0"},
+		{`"w2"`, `""`, "/workers/1/id"},
+	} {
+		if _, err := ParseWorkers("w.json", []byte(strings.Replace(list, c.from, c.to, 1))); err == nil || !strings.Contains(err.Error(), c.path) {
+			t.Errorf("%s: %v, want it to name %s", c.to, err, c.path)
+		}
+	}
+}
+
+// TestFollow replaces the list in every way that a file may change under a reader.
+func TestFollow(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "w.json")
+	write := func(s string) {
+		t.Helper()
+		if err := os.WriteFile(file+".tmp", []byte(s), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(file+".tmp", file); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(list)
+	lists, refused, stop := make(chan *WorkerList, 10), make(chan error, 100), make(chan struct{})
+	ended := make(chan error, 1)
+	go func() {
+		ended <- Follow(file, stop, func(l *WorkerList) { lists <- l }, func(err error) { refused <- err })
+	}()
+	next := func(n int) {
+		t.Helper()
+		select {
+		case l := <-lists:
+			if len(l.Workers) != n {
+				t.Fatalf("%d workers, want %d", len(l.Workers), n)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("no list came")
+		}
+	}
+	refusal := func() {
+		t.Helper()
+		select {
+		case <-refused:
+		case <-time.After(20 * time.Second):
+			t.Fatal("nothing was refused")
+		}
+		if len(lists) > 0 {
+			t.Fatal("a bad list was handed over")
+		}
+	}
+	next(2)
+	write(list[:40]) // truncated
+	refusal()
+	write(`{"workers": [{"id": "w1", "address": "127.0.0.1:1"}]}`)
+	next(1)
+	if err := os.Remove(file); err != nil { // gone, then back
+		t.Fatal(err)
+	}
+	refusal()
+	write(list)
+	next(2)
+	if err := os.WriteFile(file, []byte(`{"workers": []}`), 0o644); err != nil { // in place
+		t.Fatal(err)
+	}
+	next(0)
+	close(stop)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(list))
+	f.Add([]byte(`{"listen":"a:1","workers":{"file":"x"},"classes":[]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if g, err := Parse("g", raw); err == nil {
+			if _, err := brain.New(g.Settings(), 1); err != nil {
+				t.Fatalf("settings that pass the check are refused by the module: %v", err)
+			}
+		}
+		if l, err := ParseWorkers("w", raw); err == nil {
+			l.Roster(func(time.Time) time.Duration { return 0 })
+		}
+	})
+}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -131,7 +132,7 @@
 		}},
 		{rule: 4, script: func(s *Script) {
 			s.Fleet.Workers, s.Rules.ColdShare, s.Rules.FallMultiple, s.Rules.ColdFor = 3, 0.05, 1.1, 8
-			s.Traffic.Rate = 150
+			s.Traffic.Rate, s.Store.Rate = 250, 100
 			s.Trouble = []Trouble{{Kind: "vanish", At: 0.3, For: 0.5, Part: 0.34}}
 		}, settings: func(s *brain.Settings) { s.ColdFor = 0 }}, // a fresh start is taken for warm
 		{rule: 5, script: func(s *Script) {
@@ -144,7 +145,7 @@
 				t.Parallel()
 				s := small(4)
 				c.script(s)
-				var o Options
+				o := Options{Log: slog.New(slog.NewTextHandler(testLog{t}, &slog.HandlerOptions{Level: slog.LevelWarn}))}
 				if broken {
 					o.Decider = func(set brain.Settings, seed uint64) (router.Decider, error) {
 						if c.settings != nil {
@@ -168,3 +169,11 @@
 		}
 	}
 }
+
+// testLog writes a day's warnings to the test that plays it.
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(p []byte) (int, error) {
+	l.t.Log(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -119,6 +119,9 @@
 	e.out--
 	switch {
 	case e.state == streaming && e.answer == t:
+		if len(how.Answer) > 0 { // it had ended before it was granted to the client
+			e.call.Client.Message(how.Answer, nil)
+		}
 		e.finish(how.Status, how.Trailers)
 	case e.state == waiting && how.Result == brain.OK:
 		e.answer = t
--- a/internal/transport/http2/server.go
+++ b/internal/transport/http2/server.go
@@ -55,6 +55,10 @@
 				c.lost(errors.New("connection closed by peer"))
 				return nil
 			})
+			if !nc.IsActive() { // it was closed before the callback stood
+				c.lost(errors.New("connection closed by peer"))
+				return ctx
+			}
 			c.greet()
 			return ctx
 		}),
