--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -132,9 +133,20 @@
 		}},
 		{rule: 4, script: func(s *Script) {
 			s.Fleet.Workers, s.Rules.ColdShare, s.Rules.FallMultiple, s.Rules.ColdFor = 3, 0.05, 1.1, 8
-			s.Traffic.Rate, s.Store.Rate = 250, 100
+			s.Traffic.Rate, s.Store.Rate = 150, 100
 			s.Trouble = []Trouble{{Kind: "vanish", At: 0.3, For: 0.5, Part: 0.34}}
-		}, settings: func(s *brain.Settings) { s.ColdFor = 0 }}, // a fresh start is taken for warm
+		}, event: func(e brain.Event) brain.Event { // a fresh worker is taken for warm, and for the only one
+			l, ok := e.(brain.Roster)
+			fresh := slices.DeleteFunc(slices.Clone(l.Members), func(m brain.Member) bool { return m.Started == 0 })
+			if !ok || len(fresh) == 0 {
+				return e
+			}
+			for i := range fresh {
+				fresh[i].Started = 0
+			}
+			l.Members = fresh
+			return l
+		}},
 		{rule: 5, script: func(s *Script) {
 			s.Fleet.OnMiss, s.Rules.LoadFree, s.Rules.LoadShare = "refuse", 1, 0.02
 		}, settings: func(s *brain.Settings) { s.LoadSpan = 0 }}, // no ration
