HTTP/2: descriptors closed once, and the greeting first on every connection

Also found by the new test: an answer to the peer's first SETTINGS, or a drain, could be written before the preface, which ended the connection by PROTOCOL_ERROR; and a connection accepted while a drain began was left in silence.

Change: a listener of our own that closes each descriptor once, and is watched before Listen returns; the greeting is queued when a connection is made; connections accepted during a drain are told.

--- a/internal/transport/http2/conn.go
+++ b/internal/transport/http2/conn.go
@@ -148,14 +148,15 @@
 	if client {
 		c.nextID = 1
 	}
+	c.greet()
 	_ = nc.SetReadTimeout(cfg.StallAfter)
 	_ = nc.SetWriteTimeout(cfg.WriteTimeout)
 	return c
 }
 
-// greet queues what each end says first (RFC 9113, section 3.4).
+// greet queues what each end says first (RFC 9113, section 3.4). It is there from the beginning: an answer to
+// the peer's first frames, or a drain, must not get before it.
 func (c *Conn) greet() {
-	c.mu.Lock()
 	if c.client {
 		c.out = append(c.out, preface...)
 	}
@@ -169,6 +170,11 @@
 		c.out = appendHeader(c.out, header{length: 4, typ: frameWindow})
 		c.out = appendUint32(c.out, more)
 	}
+}
+
+// start has the greeting sent.
+func (c *Conn) start() {
+	c.mu.Lock()
 	c.kick()
 	c.mu.Unlock()
 }
@@ -192,7 +198,7 @@
 	if !nc.IsActive() {
 		return nil, errors.New("connection closed at once")
 	}
-	c.greet()
+	c.start()
 	return c, nil
 }
 
--- a/internal/transport/http2/http2_test.go
+++ b/internal/transport/http2/http2_test.go
@@ -548,6 +548,47 @@
 	}
 }
 
+// TestClosingListenersHitsNobodyElse guards against descriptors that are closed twice: while listeners come and
+// go, connections of others, which get the same numbers, go on.
+func TestClosingListenersHitsNobodyElse(t *testing.T) {
+	s, _ := serve(t, Config{})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				other, err := Listen("tcp", "127.0.0.1:0", Config{}, func(*Conn) Handler { return &echo{} })
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				other.Close()
+				other.Close()
+			}
+		})
+	}
+	for range 100 {
+		c, _ := dialOurs(t, s, Config{})
+		for range 5 {
+			r := newClient()
+			if _, err := c.Open(r, requestFields, []byte("hello"), true); err != nil {
+				t.Fatal(err)
+			}
+			if err := wait(t, r.ended, "the end"); err != nil || r.got.String() != "hello" {
+				t.Fatalf("%q, %v", r.got.String(), err)
+			}
+		}
+		c.Close()
+	}
+	close(stop)
+	wg.Wait()
+}
+
 // FuzzFrames feeds frames to a server's end without a socket: no panic, and bounded state.
 func FuzzFrames(f *testing.F) {
 	f.Add(frame(frameSettings, 0, 0))
--- /dev/null
+++ b/internal/transport/http2/listener.go
@@ -0,0 +1,100 @@
+package http2
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+)
+
+// listener is a listening socket for netpoll's event loop. netpoll's own closes its descriptor twice, within
+// Close and again with each further Close; in between another goroutine may have been given the number, and
+// loses its connection without a sign. This one closes each descriptor once.
+type listener struct {
+	net.Listener
+	file    *os.File // a copy of the descriptor, which the event loop watches
+	fd      int
+	once    sync.Once
+	started chan struct{} // closed when the event loop has taken the descriptor
+	begin   sync.Once
+}
+
+func listen(network, addr string) (*listener, error) {
+	ln, err := net.Listen(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	f, ok := ln.(interface{ File() (*os.File, error) })
+	if !ok {
+		_ = ln.Close()
+		return nil, fmt.Errorf("http2: no descriptor for a listener on %s", network)
+	}
+	file, err := f.File()
+	if err != nil {
+		_ = ln.Close()
+		return nil, err
+	}
+	l := &listener{Listener: ln, file: file, fd: int(file.Fd()), started: make(chan struct{})}
+	if err := syscall.SetNonblock(l.fd, true); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Fd is the descriptor that the event loop watches.
+func (l *listener) Fd() int {
+	l.begin.Do(func() { close(l.started) })
+	return l.fd
+}
+
+// Accept returns the next connection, or nil without an error when none waits.
+func (l *listener) Accept() (net.Conn, error) {
+	fd, sa, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	switch err {
+	case nil:
+	case syscall.EAGAIN, syscall.EINTR, syscall.ECONNABORTED:
+		return nil, nil
+	default:
+		return nil, err
+	}
+	a := &accepted{fd: fd, local: l.Addr(), remote: &net.UnixAddr{Net: "unix"}}
+	switch sa := sa.(type) {
+	case *syscall.SockaddrInet4:
+		a.remote = &net.TCPAddr{IP: append(net.IP(nil), sa.Addr[:]...), Port: sa.Port}
+	case *syscall.SockaddrInet6:
+		a.remote = &net.TCPAddr{IP: append(net.IP(nil), sa.Addr[:]...), Port: sa.Port}
+	}
+	if _, tcp := a.remote.(*net.TCPAddr); tcp {
+		_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
+	}
+	return a, nil
+}
+
+// Close ends the listener, once.
+func (l *listener) Close() (err error) {
+	l.once.Do(func() {
+		err = l.file.Close()
+		if e := l.Listener.Close(); err == nil {
+			err = e
+		}
+	})
+	return err
+}
+
+// accepted hands a new connection's descriptor and addresses to netpoll, which reads and writes by itself.
+type accepted struct {
+	net.Conn
+	fd            int
+	local, remote net.Addr
+}
+
+// Fd is the connection's descriptor.
+func (a *accepted) Fd() int { return a.fd }
+
+// LocalAddr implements net.Conn.
+func (a *accepted) LocalAddr() net.Addr { return a.local }
+
+// RemoteAddr implements net.Conn.
+func (a *accepted) RemoteAddr() net.Addr { return a.remote }
--- a/internal/transport/http2/server.go
+++ b/internal/transport/http2/server.go
@@ -14,7 +14,7 @@
 type Server struct {
 	cfg     Config
 	handler func(*Conn) Handler
-	ln      netpoll.Listener
+	ln      *listener
 	loop    netpoll.EventLoop
 
 	mu    sync.Mutex
@@ -27,7 +27,7 @@
 // Listen opens a listener, on "tcp" or "unix", and serves it until Close. handler is asked for each
 // connection's Handler before its first frame.
 func Listen(network, addr string, cfg Config, handler func(*Conn) Handler) (*Server, error) {
-	ln, err := netpoll.CreateListener(network, addr)
+	ln, err := listen(network, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -41,12 +41,8 @@
 			c := newConn(nc, s.cfg, nil, false)
 			c.handler = tracked{s.handler(c), s}
 			s.mu.Lock()
-			refuse := s.done
 			s.conns[c] = struct{}{}
 			s.mu.Unlock()
-			if refuse {
-				c.closing = true
-			}
 			return context.WithValue(context.Background(), connKey{}, c)
 		}),
 		netpoll.WithOnConnect(func(ctx context.Context, nc netpoll.Connection) context.Context {
@@ -59,7 +55,13 @@
 				c.lost(errors.New("connection closed by peer"))
 				return ctx
 			}
-			c.greet()
+			c.start()
+			s.mu.Lock()
+			draining := s.done
+			s.mu.Unlock()
+			if draining { // it was accepted before the drain began, or while it was told
+				c.Shutdown()
+			}
 			return ctx
 		}),
 	)
@@ -68,6 +70,7 @@
 		return nil, err
 	}
 	go func() { _ = s.loop.Serve(ln) }()
+	<-ln.started // from here on Close ends the loop's watch before the descriptor is gone
 	return s, nil
 }
 
