No panic crosses a connection; answers leave while a peer keeps sending; function names are forgotten

Need: a panic in a handler left its connection waiting for good, as netpoll's pool swallows it; a peer that never stops sending kept the answers to it back; names of models grew without bound where any model is served.

Change: reading and writing goroutines end their own connection on a panic and say so; what is queued is written every 64 frames; nothing is parsed behind our own GOAWAY; functions not called for ten minutes are forgotten.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/topazfront/topazfront/internal/config"
 	"github.com/topazfront/topazfront/internal/oip"
@@ -205,3 +207,25 @@
 		t.Errorf("%d of 200 refused", bad)
 	}
 }
+
+// TestEveryCallOfTheService has grpc-go's client make the calls that the gateway answers itself.
+func TestEveryCallOfTheService(t *testing.T) {
+	r := newRig(t, 1, nil, nil)
+	for path, c := range map[string]struct {
+		in, out proto.Message
+		want    string
+	}{
+		oip.ServerLive:     {&inference.ServerLiveRequest{}, &inference.ServerLiveResponse{}, "live:true"},
+		oip.ServerReady:    {&inference.ServerReadyRequest{}, &inference.ServerReadyResponse{}, "ready:true"},
+		oip.ModelReady:     {&inference.ModelReadyRequest{Name: "quote"}, &inference.ModelReadyResponse{}, "ready:true"},
+		oip.ServerMetadata: {&inference.ServerMetadataRequest{}, &inference.ServerMetadataResponse{}, `name:"topazfront"`},
+		oip.ModelMetadata:  {&inference.ModelMetadataRequest{Name: "quote"}, &inference.ModelMetadataResponse{}, `name:"quote"`},
+	} {
+		if err := r.conn.Invoke(within(t, 5*time.Second), path, c.in, c.out); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+		if got := strings.ReplaceAll(fmt.Sprint(c.out), " ", ""); !strings.Contains(got, c.want) {
+			t.Errorf("%s: %s, want %s", path, got, c.want)
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -78,19 +79,18 @@
 	ended   chan struct{}
 
 	// Of the loop.
-	core    Decider
-	roster  *roster.Core
-	now     time.Duration
-	events  []brain.Event
-	calls   map[brain.RequestID]*entry
-	next    brain.RequestID
-	wheel   *wheel.Wheel
-	due     time.Duration // when the module asked to be woken; 0: not
-	quit    func()        // to be run once no call is left
-	killed  bool
-	fns     map[string]oip.Routed
-	members map[string]roster.Worker
-	stats   Stats
+	core   Decider
+	roster *roster.Core
+	now    time.Duration
+	events []brain.Event
+	calls  map[brain.RequestID]*entry
+	next   brain.RequestID
+	wheel  *wheel.Wheel
+	due    time.Duration // when the module asked to be woken; 0: not
+	quit   func()        // to be run once no call is left
+	killed bool
+	fns    map[string]*function
+	stats  Stats
 }
 
 // Stats counts what a router has done.
@@ -117,7 +117,7 @@
 	}
 	r := &Router{cfg: cfg, up: up, begin: time.Now(), wake: make(chan struct{}, 1), ended: make(chan struct{}),
 		core: core, roster: roster.New(cfg.Roster), calls: map[brain.RequestID]*entry{},
-		wheel: wheel.New(time.Millisecond, epoch), fns: map[string]oip.Routed{}}
+		wheel: wheel.New(time.Millisecond, epoch), fns: map[string]*function{}}
 	go r.loop()
 	return r, nil
 }
@@ -282,10 +282,7 @@
 		e.id = r.next
 		r.calls[e.id] = e
 		r.stats.Calls++
-		fn := c.Routed.Function()
-		if _, ok := r.fns[fn]; !ok {
-			r.fns[fn] = oip.Routed{Model: c.Routed.Model, Version: c.Routed.Version}
-		}
+		fn := r.called(c)
 		r.events = append(r.events, brain.Request{ID: e.id, Function: fn, Class: c.Class, Tenant: c.Tenant,
 			MemoryMB: c.MemoryMB, Lanes: c.Lanes, LoadTime: c.LoadTime, Work: c.Work,
 			Left: e.deadline - r.now})
@@ -293,6 +290,31 @@
 	return func() { r.post(func() { r.drop(e) }) }, ok
 }
 
+// function is a model, and a version where one was asked for, by the key that the module knows.
+type function struct {
+	model, version string
+	called         time.Duration
+}
+
+// keepFor is how long a function is known after its last call: longer than the module has orders for it.
+const keepFor = 10 * time.Minute
+
+// called notes a call of a function and returns its key. It guards against names without end: those not called
+// for long are forgotten.
+func (r *Router) called(c *Call) string {
+	key := c.Routed.Function()
+	f := r.fns[key]
+	if f == nil {
+		f = &function{model: c.Routed.Model, version: c.Routed.Version}
+		r.fns[key] = f
+		if len(r.fns)%1024 == 0 {
+			maps.DeleteFunc(r.fns, func(_ string, f *function) bool { return f.called > 0 && r.now-f.called > keepFor })
+		}
+	}
+	f.called = r.now
+	return key
+}
+
 // drop takes a client's leaving: nothing is owed any more.
 func (r *Router) drop(e *entry) {
 	if e.state == done {
@@ -403,9 +425,13 @@
 
 func (r *Router) order(a brain.LoadOrder) {
 	fn, begin := r.fns[a.Function], r.now
+	if fn == nil {
+		r.events = append(r.events, brain.Loaded{Worker: a.Worker, Function: a.Function, Result: brain.NotSent})
+		return
+	}
 	r.stats.Orders++
-	r.cfg.Log.Debug("order", "worker", a.Worker, "model", fn.Model, "copies", a.Copies)
-	r.up.Load(a.Worker, fn.Model, fn.Version, a.Copies, r.cfg.OrderTimeout, func(o Order) {
+	r.cfg.Log.Debug("order", "worker", a.Worker, "model", fn.model, "copies", a.Copies)
+	r.up.Load(a.Worker, fn.model, fn.version, a.Copies, r.cfg.OrderTimeout, func(o Order) {
 		r.post(func() {
 			r.events = append(r.events, brain.Loaded{Worker: a.Worker, Function: a.Function, Result: o.Result,
 				Took: r.now - begin, Copies: o.Copies})
--- a/internal/transport/http2/conn.go
+++ b/internal/transport/http2/conn.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -210,12 +213,21 @@
 // read handles the frames that have come. netpoll calls it on one goroutine at a time, with bytes waiting;
 // a frame that is not whole is waited for, up to StallAfter.
 func (c *Conn) read() error {
+	defer c.recovered()
 	c.hold(true)
 	r := c.nc.Reader()
 	var err error
-	for err == nil && r.Len() > 0 {
-		err = c.readFrame(r)
+	for n := 1; err == nil && r.Len() > 0; n++ {
+		if c.ending() { // what comes behind our GOAWAY is not looked at any more
+			_ = r.Skip(r.Len())
+		} else {
+			err = c.readFrame(r)
+		}
 		_ = r.Release()
+		if n%64 == 0 { // a peer that never stops sending must not keep its answers back
+			c.hold(false)
+			c.hold(true)
+		}
 	}
 	c.hold(false)
 	if err != nil {
@@ -224,6 +236,28 @@
 	return nil
 }
 
+// ending tells that the connection has failed and only its GOAWAY is still to be written.
+func (c *Conn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing && c.err != nil
+}
+
+// recovered ends the connection whose handling panicked, so that its streams are told; others go on.
+func (c *Conn) recovered() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	slog.Error("panic while a connection was handled", "peer", c.nc.RemoteAddr(), "panic", p, "stack", string(debug.Stack()))
+	if c.mu.TryLock() { // not held: callbacks are made without it
+		c.holding = false
+		c.mu.Unlock()
+		c.lost(fmt.Errorf("http2: panic: %v", p))
+	}
+	_ = c.nc.Close()
+}
+
 func (c *Conn) readFrame(r netpoll.Reader) error {
 	if !c.begun {
 		b, err := c.next(r, len(preface))
@@ -792,6 +826,7 @@
 // flush writes until nothing is left. One goroutine at a time runs it; it may block on the socket, so none
 // that decides or reads does.
 func (c *Conn) flush() {
+	defer c.recovered()
 	var told []sent
 	for {
 		c.mu.Lock()
