--- a/internal/gateway/compare_test.go
+++ b/internal/gateway/compare_test.go
@@ -358,16 +358,16 @@
 		name, path, id string
 		rate           float64
 	}{{"unary, 100 bytes", oip.Infer, "1", rate}, {"streamed, 20 messages of 100 bytes", oip.StreamInfer, "20", rate / 3}} {
-		var got [2][3][]float64
-		failed := [2]int{}
+		var got [3][3][]float64
+		failed := [3]int{}
 		for range runs {
-			for i, p := range []*process{ours, plain} { // in turn, so that what the machine does hits both
+			for i, p := range []*process{ours, plain, workers} { // in turn, so that what the machine does hits both
 				f := open(t, p, k.path, k.id, k.rate, span)
 				got[i][0], got[i][1], got[i][2] = append(got[i][0], f.perCPU), append(got[i][1], f.p50), append(got[i][2], f.p99)
 				failed[i] += f.failed
 			}
 		}
-		for i, name := range []string{"topazfront", "grpc-go proxy"} {
+		for i, name := range []string{"topazfront", "grpc-go proxy", "none: a worker"} {
 			fmt.Printf("%-36s %6.0f calls/s  %-14s %8.0f calls a CPU second  p50 %6.0f us  p99 %6.0f us  failed %d\n", k.name, k.rate,
 				name, median(got[i][0]), median(got[i][1]), median(got[i][2]), failed[i])
 		}
