Gossip, groundwork: signed packets are taken once

Need: a packet heard on the network and sent again must count for nothing.

Change: packets are counted by their sender and taken once, by a window of 64 as in RFC 4303; counts begin at the start time, so that a new life is heard.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -16,7 +16,7 @@
 
 // Size is at least the bytes that a message takes in a packet, signature included.
 func (m Message) Size() int {
-	n := overhead + 2 + binary.MaxVarintLen64 + 4 + len(m.From) + len(m.Addr) + len(m.Target)
+	n := overhead + 2 + 2*binary.MaxVarintLen64 + 4 + len(m.From) + len(m.Addr) + len(m.Target)
 	for _, r := range m.Rumours {
 		n += r.Size()
 	}
@@ -39,6 +39,7 @@
 		}
 	}
 	dst = append(dst, version, byte(m.Kind))
+	dst = binary.AppendUvarint(dst, m.Count)
 	dst = binary.AppendUvarint(dst, m.Seq)
 	text(m.From)
 	text(m.Addr)
@@ -81,7 +82,7 @@
 		return m, ErrMalformed
 	}
 	m.Kind, b = Kind(b[1]), b[2:]
-	m.Seq, m.From, m.Addr, m.Target = number(), text(), text(), text()
+	m.Count, m.Seq, m.From, m.Addr, m.Target = number(), number(), text(), text(), text()
 	for len(b) > 0 && !bad {
 		if b[0] > byte(Dead) {
 			return Message{}, ErrMalformed
--- a/internal/gossip/core.go
+++ b/internal/gossip/core.go
@@ -42,6 +42,7 @@
 // Message is one packet's content.
 type Message struct {
 	Kind    Kind
+	Count   uint64 // of the sender's packets, set by Keys.Seal
 	Seq     uint64 // of the probe
 	From    string
 	Addr    string // of the sender
--- a/internal/gossip/core_test.go
+++ b/internal/gossip/core_test.go
@@ -240,16 +240,20 @@
 func TestSignedPackets(t *testing.T) {
 	own, pub := keys(t, 1)
 	other, _ := keys(t, 2)
-	a, b := NewKeys("k1", own), NewKeys("k9", other)
+	a, b := NewKeys("k1", own, 100), NewKeys("k9", other, 100)
 	b.Admit("a", "k1", pub)
 	m := Message{Kind: Ping, Seq: 7, From: "a", Addr: "1.2.3.4:5", Rumours: []Rumour{{ID: "x", Addr: "y", State: Suspect, Incarnation: 9, By: "z"}}}
 	p, err := a.Seal(m)
 	if err != nil || len(p) > m.Size() {
 		t.Fatalf("%d bytes, counted as %d, %v", len(p), m.Size(), err)
 	}
+	m.Count = 101
 	if got, err := b.Open(p); err != nil || !reflect.DeepEqual(got, m) {
 		t.Fatalf("%+v, %v", got, err)
 	}
+	if _, err := b.Open(p); !errors.Is(err, ErrReplay) {
+		t.Errorf("a packet that came before: %v", err)
+	}
 	for i := range p { // any byte changed
 		q := bytes.Clone(p)
 		q[i] ^= 1
@@ -257,7 +261,7 @@
 			t.Fatalf("byte %d changed, and taken", i)
 		}
 	}
-	forged, err := NewKeys("k1", other).Seal(m)
+	forged, err := NewKeys("k1", other, 200).Seal(m)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -273,6 +277,39 @@
 	}
 }
 
+// TestReplays: each packet is taken once, late ones too while they are not long behind.
+func TestReplays(t *testing.T) {
+	own, pub := keys(t, 1)
+	a, b := NewKeys("k", own, 1<<40), NewKeys("k", own, 0)
+	b.Admit("a", "k", pub)
+	var packets [][]byte
+	for range 200 {
+		p, err := a.Seal(Message{Kind: Ping, From: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		packets = append(packets, p)
+	}
+	for _, c := range []struct {
+		i     int
+		fresh bool
+	}{{0, true}, {0, false}, {5, true}, {3, true}, {3, false}, {5, false}, {4, true}, {100, true}, {99, true}, {37, true},
+		{36, false}, {4, false}, {199, true}, {100, false}, {198, true}, {198, false}} {
+		if _, err := b.Open(packets[c.i]); (err == nil) != c.fresh {
+			t.Errorf("packet %d: %v, want it fresh: %v", c.i, err, c.fresh)
+		}
+	}
+	// A member that started anew counts from a later time.
+	again := NewKeys("k", own, 1<<41)
+	p, err := again.Seal(Message{Kind: Ping, From: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.Open(p); err != nil {
+		t.Errorf("a new life: %v", err)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	m := Message{Kind: Help, Seq: 300, From: "a", Addr: "b", Target: "c", Rumours: []Rumour{{ID: "x", State: Dead, Incarnation: 1 << 40}}}
 	raw, err := m.Append(nil)
