Module: slow readers of streams no longer keep all other calls out

Change: it leaves the windows when it would be overdue, as other attempts do. The test fails without it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -253,7 +253,7 @@
 		r := d.reqs[heap.Pop(&d.wakes).(wake).id]
 		if r != nil && d.now >= r.deadline {
 			d.conclude(r)
-		} else if r != nil && r.out > 0 && r.began == nil {
+		} else if r != nil && r.out > 0 {
 			d.release(r.attempts[len(r.attempts)-1])
 		} else if r != nil && r.wanted {
 			d.route(r)
@@ -735,8 +735,8 @@
 
 // started takes the start of a streamed response. The attempt is the client's from then on: nothing more is
 // sent for the request, it is not refused, and only its deadline ends it, by Fail. How long the stream lasts
-// is no sign of the worker's health, as its reader may be slow: the worker was heard, and the attempt counts
-// as overdue no more.
+// is no sign of the worker's health, as its reader may be slow: the worker was heard, and the attempt raises
+// no doubt. In the windows it counts until it would be overdue, or slow readers would keep all others out.
 func (d *Dispatcher) started(e Started) {
 	r := d.reqs[e.ID]
 	if r == nil || r.done || r.began != nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -942,3 +942,28 @@
 		t.Errorf("answers are held to take %v s, before %v: the streams' length was learned", r.d.took, before)
 	}
 }
+
+// TestSlowReadersKeepNobodyOut guards against streams that are read slowly and fill the windows for good.
+func TestSlowReadersKeepNobodyOut(t *testing.T) {
+	r := newRig(t, settings(), "w1")
+	for range 4 { // the copy is known to stand: what follows counts in full
+		id, s := r.out("f", "safe")
+		r.now += 20 * time.Millisecond
+		r.step(Outcome{ID: id, Worker: s.Worker, Result: OK, Final: true, Took: 20 * time.Millisecond, Load: NoLoad})
+	}
+	streams := 0
+	for range 60 {
+		id, got := r.call("f", "safe")
+		if s := all[Send](got); len(s) == 1 {
+			streams++
+			r.step(Started{ID: id, Attempt: 0, Worker: s[0].Worker, Took: 20 * time.Millisecond})
+		}
+	}
+	if streams == 0 || streams == 60 {
+		t.Fatalf("%d streams of 60 were begun: the window was not met", streams)
+	}
+	r.after(2 * time.Second)
+	if _, got := r.call("f", "safe"); len(all[Send](got)) == 0 {
+		t.Errorf("with %d streams read slowly nothing is sent any more: %v", streams, got)
+	}
+}
