--- a/cmd/topazfront/call.go
+++ b/cmd/topazfront/call.go
@@ -71,11 +71,8 @@
 		return err
 	}
 	defer conn.Close()
-	s, err := conn.Open(p, []hpack.Field{{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"},
-		{Name: ":path", Value: path}, {Name: ":authority", Value: c.Address}, {Name: "te", Value: "trailers"},
-		{Name: "content-type", Value: "application/grpc"},
-		{Name: "grpc-accept-encoding", Value: grpc.Encodings},
-		{Name: "grpc-timeout", Value: grpc.FormatTimeout(c.Timeout)}},
+	s, err := conn.Open(p, append(grpc.Head(c.Address, path, c.Timeout),
+		hpack.Field{Name: "grpc-accept-encoding", Value: grpc.Encodings}),
 		append(grpc.AppendPrefix(nil, len(raw), false), raw...), true)
 	if err != nil {
 		return err
--- a/internal/day/rig.go
+++ b/internal/day/rig.go
@@ -67,7 +67,6 @@
 	made     int
 	dead     []*worker.Worker // replaced ones
 	done     bool
-	timers   sync.WaitGroup
 }
 
 // member is a worker's place in the list.
@@ -83,13 +82,12 @@
 	n, lives int
 	file     string
 
-	mu      sync.Mutex
-	name    string
-	g       *gateway.Gateway
-	client  *client.Client
-	seen    int             // version of the list delivered last
-	told    map[string]bool // by worker: on
-	offline bool
+	mu     sync.Mutex
+	name   string
+	g      *gateway.Gateway
+	client *client.Client
+	seen   int             // version of the list delivered last
+	told   map[string]bool // by worker: on
 }
 
 // Play plays a script to its end and reports.
@@ -163,9 +161,7 @@
 
 // later runs f after a while, unless the day is over by then.
 func (r *Rig) later(d time.Duration, f func()) {
-	r.timers.Add(1)
 	time.AfterFunc(d, func() {
-		defer r.timers.Done()
 		r.mu.Lock()
 		over := r.done
 		r.mu.Unlock()
@@ -296,7 +292,7 @@
 	}
 	c := client.New(g.Addr(), name, r.log, http2.Config{})
 	sl.mu.Lock()
-	sl.g, sl.client, sl.offline = g, c, false
+	sl.g, sl.client = g, c
 	sl.mu.Unlock()
 	return nil
 }
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -236,7 +236,6 @@
 		r.later(t.For.D()*time.Duration(k)/time.Duration(n), func() {
 			sl.mu.Lock()
 			g, c, name := sl.g, sl.client, sl.name
-			sl.offline = true
 			sl.mu.Unlock()
 			r.log.Add(rules.Record{Kind: rules.RouterDown, Router: name})
 			g.Kill()
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -78,14 +78,12 @@
 	id       brain.RequestID
 	call     *Call
 	state    state
-	came     time.Duration
 	deadline time.Duration
 	attempts []*try
 	out      int
 	answer   *try // whose response is the client's
 	last     Ended
 	failed   bool // last holds how an attempt ended
-	dropped  bool
 }
 
 // try is one attempt of a call.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -87,7 +87,7 @@
 	next   brain.RequestID
 	wheel  *wheel.Wheel
 	due    time.Duration // when the module asked to be woken; 0: not
-	quit   func()        // to be run once no call is left
+	quit   bool          // the loop ends once no call is left
 	killed bool
 	fns    map[string]*function
 	stats  Stats
@@ -182,7 +182,7 @@
 		}
 		r.follow()
 		r.step()
-		if r.quit != nil && len(r.calls) == 0 {
+		if r.quit && len(r.calls) == 0 {
 			r.mu.Lock()
 			r.stopped = true
 			rest := r.queue
@@ -192,7 +192,6 @@
 				f()
 			}
 			if len(r.calls) == 0 {
-				r.quit()
 				return
 			}
 			r.mu.Lock()
@@ -275,8 +274,7 @@
 
 // Submit takes a call. It answers false when the router has stopped: nothing was taken.
 func (r *Router) Submit(c *Call) (drop func(), ok bool) {
-	e := &entry{call: c, came: r.Clock()}
-	e.deadline = e.came + c.Left
+	e := &entry{call: c, deadline: r.Clock() + c.Left}
 	ok = r.post(func() {
 		r.next++
 		e.id = r.next
@@ -321,7 +319,7 @@
 		return
 	}
 	was := e.answer
-	e.state, e.dropped = done, true
+	e.state = done
 	r.stats.Dropped++
 	r.events = append(r.events, brain.Dropped{ID: e.id})
 	if was != nil && !was.ended {
@@ -502,7 +500,7 @@
 // stopped taking calls. It returns when the loop has ended. After limit it is ended all the same, and Stop
 // tells how many calls were then without an answer.
 func (r *Router) Stop(limit time.Duration) (lost int) {
-	r.post(func() { r.quit = func() {} })
+	r.post(func() { r.quit = true })
 	select {
 	case <-r.ended:
 		return 0
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -153,10 +153,7 @@
 	x.timer = time.AfterFunc(deadline+time.Second, func() {
 		x.end(Result{Status: grpc.Status{Code: grpc.DeadlineExceeded, Message: "no answer in time"}})
 	})
-	s, err := conn.Open(x, []hpack.Field{{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"},
-		{Name: ":path", Value: path}, {Name: ":authority", Value: c.addr}, {Name: "te", Value: "trailers"},
-		{Name: "content-type", Value: "application/grpc"},
-		{Name: "grpc-timeout", Value: grpc.FormatTimeout(deadline)}}, body, true)
+	s, err := conn.Open(x, grpc.Head(c.addr, path, deadline), body, true)
 	if err != nil {
 		x.left()
 		x.end(Result{Status: grpc.Status{Code: grpc.Unavailable, Message: err.Error()}})
--- a/internal/transport/grpc/grpc.go
+++ b/internal/transport/grpc/grpc.go
@@ -56,6 +56,13 @@
 
 func (s Status) Error() string { return s.Code.String() + ": " + s.Message }
 
+// Head returns the headers that begin a request; left is the time until the caller gives up.
+func Head(authority, path string, left time.Duration) []hpack.Field {
+	return []hpack.Field{{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: path},
+		{Name: ":authority", Value: authority}, {Name: "te", Value: "trailers"},
+		{Name: "content-type", Value: "application/grpc"}, {Name: "grpc-timeout", Value: FormatTimeout(left)}}
+}
+
 // Get returns the value of the first field with a name.
 func Get(fields []hpack.Field, name string) (string, bool) {
 	for _, f := range fields {
--- a/internal/transport/http2/conn.go
+++ b/internal/transport/http2/conn.go
@@ -405,10 +405,7 @@
 		return err
 	}
 	if s.recvWindow -= int64(h.length); s.recvWindow < 0 {
-		c.putReset(h.stream, FlowControlError)
-		s.drop()
-		c.mu.Unlock()
-		s.recv.Closed(s, &StreamError{Code: FlowControlError, Reason: "peer sent beyond the stream's window"})
+		c.breakOff(s, FlowControlError, "peer sent beyond the stream's window")
 		return nil
 	}
 	s.unconsumed += int64(len(body))
@@ -560,10 +557,7 @@
 		reason = malformed(fields, false)
 	}
 	if reason != "" {
-		c.putReset(s.id, ProtocolError)
-		s.drop()
-		c.mu.Unlock()
-		s.recv.Closed(s, &StreamError{Code: ProtocolError, Reason: reason})
+		c.breakOff(s, ProtocolError, reason)
 		return nil
 	}
 	s.gotHeaders = true
@@ -753,10 +747,7 @@
 		if n != 0 {
 			code, reason = FlowControlError, "the stream's window overflows"
 		}
-		c.putReset(h.stream, code)
-		s.drop()
-		c.mu.Unlock()
-		s.recv.Closed(s, &StreamError{Code: code, Reason: reason})
+		c.breakOff(s, code, reason)
 		return nil
 	}
 	c.kick()
@@ -796,6 +787,14 @@
 	c.kick()
 }
 
+// breakOff ends a stream on which the peer broke the protocol. c.mu is held and given back.
+func (c *Conn) breakOff(s *Stream, code ErrCode, reason string) {
+	c.putReset(s.id, code)
+	s.drop()
+	c.mu.Unlock()
+	s.recv.Closed(s, &StreamError{Code: code, Reason: reason})
+}
+
 // grant returns consumed bytes to the peer's window of the connection, a half window at a time. c.mu is held.
 func (c *Conn) grant(n int64) {
 	if c.credit += n; c.credit >= int64(c.cfg.ConnWindow)/2 {
--- a/internal/transport/http2/server.go
+++ b/internal/transport/http2/server.go
@@ -121,9 +121,7 @@
 	s.mu.Lock()
 	s.done = true
 	s.mu.Unlock()
-	for _, c := range s.all() {
-		c.Shutdown()
-	}
+	s.Warn()
 }
 
 // Warn tells every connection's peer that no further streams are taken, as Drain does, but goes on accepting
--- a/internal/upstream/evidence_test.go
+++ b/internal/upstream/evidence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -437,3 +438,33 @@
 	}
 	return b
 }
+
+// TestAWorkerThatAcceptsAndClosesIsNotDialledOverAndOver: the attempt ends, whatever the deadline.
+func TestAWorkerThatAcceptsAndClosesIsNotDialledOverAndOver(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	var accepted atomic.Int32
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			_ = nc.Close()
+		}
+	}()
+	r, p := stage(t, ln.Addr().String())
+	for range 10 {
+		submit(t, r, false, time.Hour)
+		if o := get(t, p.outcomes, "the outcome"); o.Result != brain.NoConnection && o.Result != brain.Reset {
+			t.Errorf("%v", o.Result)
+		}
+	}
+	if n := accepted.Load(); n > 20 {
+		t.Errorf("%d connections for 10 attempts", n)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -172,8 +173,11 @@
 		case stale:
 			p.do(w.id, x)
 		default:
-			if err := x.open(c); err != nil {
+			switch err := x.open(c); {
+			case errors.Is(err, http2.ErrNoStreams):
 				p.again(w.id, x, err)
+			case err != nil: // a worker that accepts and closes at once is not dialled over and over
+				x.fail(err.Error())
 			}
 		}
 	}
@@ -241,11 +245,5 @@
 
 // head is what every request to a worker begins with.
 func (p *Pool) head(path string, left time.Duration) []hpack.Field {
-	return []hpack.Field{
-		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: path},
-		{Name: ":authority", Value: "worker"}, {Name: "te", Value: "trailers"},
-		{Name: "content-type", Value: "application/grpc"},
-		{Name: "grpc-timeout", Value: grpc.FormatTimeout(left)},
-		{Name: RouterField, Value: p.cfg.Router},
-	}
+	return append(grpc.Head("worker", path, left), hpack.Field{Name: RouterField, Value: p.cfg.Router})
 }
