Module: hear of peers' word after an own look, and tell own doubts where asked

Need: gossip between routers may tell of silent workers, and only the module acts on workers. Nor may peers that vanish ever raise a router's share of the fleet.

Change: one event, Peers, doubts a worker that an own look found silent, unless it was heard since, and lowers part and windows where more routers are seen than configured; it lifts no doubt and raises no share. One action, Doubt, tells what the router itself holds against a worker, where Settings.TellsDoubts asks for it.

--- a/brain/api.go
+++ b/brain/api.go
@@ -93,6 +93,7 @@
 	ColdFor        time.Duration
 	FallMultiple   float64 // a cold worker falls over at this multiple of its present capacity
 	FallSpan       time.Duration
+	TellsDoubts    bool // Doubt actions are wanted
 	MustAsk        bool // the list of workers comes only to those who subscribe
 }
 
@@ -217,6 +218,14 @@
 	Members []Member
 }
 
+// Peers brings what other routers' word led to. Routers is the highest count of routers seen live so far, 0 for
+// untold: it can only lower this router's shares. Silent names workers that gave no sign of life to a look
+// that this router itself took.
+type Peers struct {
+	Routers int
+	Silent  []string
+}
+
 // Woken tells that a Wake has come due.
 type Woken struct{}
 
@@ -227,6 +236,7 @@
 func (Loaded) event()  {}
 func (Probed) event()  {}
 func (Roster) event()  {}
+func (Peers) event()   {}
 func (Woken) event()   {}
 
 // Action is something for the router to do: one of the types below.
@@ -270,6 +280,15 @@
 // Wake asks for a Woken after a while.
 type Wake struct{ After time.Duration }
 
+// Doubt tells what this router has come to hold against a worker, by its own evidence: that it is silent, or
+// that it fails a class, or that it is slow. It comes where Settings.TellsDoubts asks for it; nothing is to be
+// done about it.
+type Doubt struct {
+	Worker string
+	Class  string // that it fails
+	Slow   bool
+}
+
 // Note is a line for the log.
 type Note struct{ Text string }
 
@@ -281,4 +300,5 @@
 func (Probe) action()     {}
 func (Watch) action()     {}
 func (Wake) action()      {}
+func (Doubt) action()     {}
 func (Note) action()      {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,6 +36,7 @@
 	doubtAfter  = 400 * time.Millisecond // shortest silence that raises a doubt: longer than a usual stall
 	freshFor    = 300 * time.Millisecond // how long a report holds,
 	crowdedAt   = 1.5                    // multiple of the mean held from which a worker is passed over
+	slowFrom    = 1.0                    // slowness from which a worker is called slow to other routers
 	askEvery    = time.Second            // how often a doubted worker is asked for a sign of life
 	patience    = 3                      // an attempt is overdue at this multiple of its expected time,
 	patienceMin = 100 * time.Millisecond // and not before this has been added to it
@@ -243,6 +244,8 @@
 			d.loaded(e)
 		case Probed:
 			d.probed(e)
+		case Peers:
+			d.peers(e)
 		case Woken:
 			if d.now > d.armed-wakeSlack {
 				d.armed = 0 // callers may round a Wake down
@@ -387,6 +390,9 @@
 		w.cold = w.cold && d.now-w.Started < d.set.ColdFor
 		w.slice = d.trust(w) * max(w.memory, 1)
 		room += w.slice
+		if w.slowness > slowFrom {
+			d.tell(Doubt{Worker: w.ID, Slow: true})
+		}
 	}
 	for _, w := range d.list {
 		w.slice *= total * (1 + surplus) / max(room, 1e-9)
@@ -804,7 +810,7 @@
 			d.loadFailed(p) // no room for a load, more likely than a full queue
 		}
 	case NoConnection, Reset:
-		w.doubted, w.asked = true, d.now
+		d.suspect(w)
 	}
 	if e.Warmth == LoadFailed {
 		d.loadFailed(p)
@@ -898,7 +904,7 @@
 			phi += (d.now - max(a.sent, w.heard)).Seconds() / max(a.expected, 0.02)
 		}
 		if phi > doubtPhi && d.now-max(w.heard, w.open[0].sent) > doubtAfter {
-			w.doubted, w.asked = true, d.now
+			d.suspect(w)
 		}
 	}
 	if w.doubted && d.now-w.asked >= askEvery && d.set.MayProbe {
@@ -908,11 +914,42 @@
 	return w.doubted
 }
 
+// suspect begins a doubt.
+func (d *Dispatcher) suspect(w *worker) {
+	w.doubted, w.asked = true, d.now
+	d.tell(Doubt{Worker: w.ID})
+}
+
+func (d *Dispatcher) tell(a Doubt) {
+	if d.set.TellsDoubts {
+		d.act(a)
+	}
+}
+
+// peers takes what other routers' word led to. It lifts no doubt and raises no share: the routers that share
+// the fleet are those of the settings, or more where more were seen, and stay so when they vanish, as they may
+// only be cut off. A silent worker is doubted, unless this router has heard it since.
+func (d *Dispatcher) peers(e Peers) {
+	if e.Routers > d.set.Routers {
+		less := float64(d.set.Routers) / float64(e.Routers)
+		d.part, d.set.Routers = d.part*less, e.Routers
+		for _, w := range d.workers {
+			w.window *= less
+		}
+	}
+	for _, id := range e.Silent {
+		if w := d.workers[id]; w != nil && w.State == On && d.now-w.heard > doubtAfter && !w.doubted {
+			d.suspect(w)
+		}
+	}
+}
+
 // bar rests a class at a worker that fails it, or refuses it slowly with room to spare, longer each time; the
 // walk then passes the worker over for it. Its other classes are served as usual. It hurts where an error was
 // the request's own.
 func (d *Dispatcher) bar(w *worker, c *class) {
 	w.bars[c] = bar{d.now + d.spread(barredFor, w.bars[c].times), w.bars[c].times + 1}
+	d.tell(Doubt{Worker: w.ID, Class: c.Name})
 }
 
 // spread is a rest that doubles each time, never two routers' in step.
--- a/brain/fuzz_test.go
+++ b/brain/fuzz_test.go
@@ -51,6 +51,10 @@
 				out = r.step(Outcome{ID: a.id, Attempt: a.n, Worker: a.w, Result: res, Final: final[a.id],
 					Took: 30 * time.Millisecond, Warmth: Warmth(x % 5), Load: NoLoad})
 			case 5:
+				if x > 220 {
+					out = r.step(Peers{Routers: x % 7, Silent: []string{w, "w9"}})
+					break
+				}
 				out = r.step(Loaded{Worker: w, Function: fmt.Sprintf("f%d", x%7), Result: Result(x / 8 % 8)})
 			case 6:
 				m := Member{ID: w, Kind: "small", Cell: x % 5 / 2, State: State(x / 5 % 3)}
