Gossip runs: an agent on UDP and TCP, wired to router and settings; operators' socket

Need: the cores must meet real sockets, keys from files, and the module; operators must see what is said.

Change: internal/peers runs the cores in one loop over UDP, with signed packets over TCP for state; the router takes looks and hands what came of them to the module. Settings: gossip (off by default) and control; the files of admitted routers and of the own key are followed, so keys are exchanged in service. internal/control speaks JSON-RPC 2.0 over a Unix socket. The safe listener moves from http2 to a package of its own.

Result: tests of the socket's calls, bad lines and paths pass with -race.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -93,6 +93,10 @@
 		FallMultiple float64 `json:"fall_multiple"`
 		FallSpan     Millis  `json:"fall_span_ms"`
 	} `json:"safety"`
+	Gossip  *Gossip `json:"gossip"` // nil: none
+	Control struct {
+		Socket string `json:"socket"`
+	} `json:"control"`
 	Log struct {
 		Level  string `json:"level"`
 		Format string `json:"format"`
@@ -174,8 +178,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if !filepath.IsAbs(g.Workers.File) {
-		g.Workers.File = filepath.Join(filepath.Dir(path), g.Workers.File)
+	paths := []*string{&g.Workers.File, &g.Control.Socket}
+	if g.Gossip != nil {
+		paths = append(paths, &g.Gossip.Members, &g.Gossip.Key)
+	}
+	for _, p := range paths {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(filepath.Dir(path), *p)
+		}
 	}
 	return g, nil
 }
@@ -189,6 +199,9 @@
 	if err := json.Unmarshal(raw, &g); err != nil {
 		return nil, &Invalid{name, []Problem{{"", err.Error()}}}
 	}
+	if g.Gossip != nil && g.Gossip.LookTimeout == 0 {
+		g.Gossip.LookTimeout = 400
+	}
 	if p := g.check(); len(p) > 0 {
 		return nil, &Invalid{name, p}
 	}
@@ -292,6 +305,9 @@
 	if len(g.Models) == 0 && g.DefaultModel == nil {
 		bad("", "neither models nor default_model is set: no call could be taken")
 	}
+	if g.Gossip != nil {
+		g.Gossip.check(bad)
+	}
 	kinds := map[string]bool{}
 	for i, k := range g.Kinds {
 		if kinds[k.Name] {
@@ -311,7 +327,7 @@
 		MaxAttempts: g.Limits.Attempts, MaxRetryAfter: g.Limits.RetryAfter.Duration(),
 		DrainGrace: g.Safety.DrainGrace.Duration(), ColdShare: g.Safety.ColdShare,
 		ColdFor: g.Safety.ColdFor.Duration(), FallMultiple: g.Safety.FallMultiple,
-		FallSpan: g.Safety.FallSpan.Duration(),
+		FallSpan: g.Safety.FallSpan.Duration(), TellsDoubts: g.Gossip != nil,
 		Reports: map[string]brain.Source{"none": brain.FromNothing, "answers": brain.FromAnswers,
 			"probes": brain.FromProbes}[g.Reports]}
 	for _, k := range g.Kinds {
--- a/internal/config/workers.go
+++ b/internal/config/workers.go
@@ -5,11 +5,8 @@
 	"fmt"
 	"net"
 	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/fsnotify/fsnotify"
-
 	"github.com/topazfront/topazfront/brain"
 	"github.com/topazfront/topazfront/internal/roster"
 )
@@ -72,6 +69,17 @@
 	return out
 }
 
+// Starts gives the workers' start times in Unix milliseconds, 0 for long ago: the same at every router.
+func (l *WorkerList) Starts() map[string]uint64 {
+	out := make(map[string]uint64, len(l.Workers))
+	for _, w := range l.Workers {
+		if out[w.ID] = 0; w.Started != nil {
+			out[w.ID] = uint64(max(w.Started.UnixMilli(), 0))
+		}
+	}
+	return out
+}
+
 // WriteWorkers replaces a list in one step: a reader sees the old one or the new one whole.
 func WriteWorkers(path string, l WorkerList) error {
 	raw, err := json.MarshalIndent(l, "", " ")
@@ -88,54 +96,11 @@
 // Follow calls list with the file's content now and after each change, and refused with what is wrong where
 // it can't be used; the list handed over before then stands. It returns when stop is closed.
 func Follow(path string, stop <-chan struct{}, list func(*WorkerList), refused func(error)) error {
-	watch, err := fsnotify.NewWatcher()
-	if err != nil {
-		return err
-	}
-	defer func() { _ = watch.Close() }()
-	// The folder is watched, as a file that is replaced by rename is another file.
-	if err := watch.Add(filepath.Dir(path)); err != nil {
-		return fmt.Errorf("%s: %w", filepath.Dir(path), err)
-	}
-	last := ""
-	read := func() {
-		raw, err := os.ReadFile(path)
-		if err != nil {
-			refused(err)
-			return
-		}
-		if string(raw) == last {
-			return
-		}
+	return FollowFile(path, stop, func(raw []byte) error {
 		l, err := ParseWorkers(path, raw)
-		if err != nil {
-			refused(err)
-			return
+		if err == nil {
+			list(l)
 		}
-		last = string(raw)
-		list(l)
-	}
-	read()
-	again := time.NewTicker(time.Second) // file events may be lost when many come at once
-	defer again.Stop()
-	for {
-		select {
-		case <-stop:
-			return nil
-		case e, ok := <-watch.Events:
-			if !ok {
-				return nil
-			}
-			if filepath.Clean(e.Name) == filepath.Clean(path) && !e.Has(fsnotify.Chmod) {
-				read()
-			}
-		case err, ok := <-watch.Errors:
-			if !ok {
-				return nil
-			}
-			refused(err)
-		case <-again.C:
-			read()
-		}
-	}
+		return err
+	}, refused)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,12 +4,15 @@
 
 import (
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/topazfront/topazfront/brain"
 	"github.com/topazfront/topazfront/internal/config"
+	"github.com/topazfront/topazfront/internal/control"
 	"github.com/topazfront/topazfront/internal/front/grpcfront"
+	"github.com/topazfront/topazfront/internal/peers"
 	"github.com/topazfront/topazfront/internal/roster"
 	"github.com/topazfront/topazfront/internal/router"
 	"github.com/topazfront/topazfront/internal/transport/http2"
@@ -25,6 +28,7 @@
 	Decider func(brain.Settings, uint64) (router.Decider, error) // nil: the module
 	Drain   time.Duration                                        // most that Stop waits for calls in hand; 0: a minute
 	Tap     func(now time.Duration, events []brain.Event, actions []brain.Action)
+	Packets func(net.PacketConn) net.PacketConn // nil, or goes between gossip and its socket
 }
 
 // Gateway is one running gateway.
@@ -34,6 +38,8 @@
 	pool   *upstream.Pool
 	router *router.Router
 	front  *grpcfront.Front
+	peers  *peers.Agent    // nil: no gossip
+	ctl    *control.Server // nil: no operators' socket
 	drain  time.Duration
 	stop   chan struct{}
 	once   sync.Once
@@ -62,12 +68,19 @@
 		return nil, err
 	}
 	g.pool.Attach(g.router)
+	if err := g.gossip(o); err != nil {
+		g.Kill()
+		return nil, err
+	}
 	first := make(chan struct{})
 	var once sync.Once
 	g.wg.Go(func() {
 		err := config.Follow(cfg.Workers.File, g.stop, func(l *config.WorkerList) {
 			log.Info("list of workers", "workers", len(l.Workers))
 			g.router.SetWorkers(l.Roster(g.router.At))
+			if g.peers != nil {
+				g.peers.SetWorkers(l.Starts())
+			}
 			once.Do(func() { close(first) })
 		}, func(err error) {
 			log.Warn("list of workers refused; the one before stands", "error", err)
@@ -81,16 +94,27 @@
 	<-first
 	g.front, err = grpcfront.Listen(grpcfront.Config{Address: cfg.Listen, HTTP2: h2, Intake: cfg.Intake(),
 		Version: Version, Log: log}, g.router)
+	if err == nil {
+		err = g.control()
+	}
 	if err != nil {
-		g.once.Do(func() { close(g.stop) })
-		g.wg.Wait()
-		g.router.Kill()
+		g.Kill()
 		return nil, err
 	}
 	log.Info("serving", "address", g.front.Addr(), "classes", len(cfg.Classes), "models", len(cfg.Models))
 	return g, nil
 }
 
+// others ends what no call goes through.
+func (g *Gateway) others() {
+	if g.ctl != nil {
+		g.ctl.Close()
+	}
+	if g.peers != nil {
+		g.peers.Close()
+	}
+}
+
 // Addr is the address of the gRPC front.
 func (g *Gateway) Addr() string { return g.front.Addr() }
 
@@ -111,6 +135,7 @@
 		g.wg.Wait()
 		g.front.Close()
 		g.pool.Close()
+		g.others()
 		g.log.Info("stopped")
 	})
 	return g.router.Stats()
@@ -120,10 +145,13 @@
 func (g *Gateway) Kill() {
 	g.once.Do(func() {
 		g.router.Kill()
-		g.front.Close()
+		if g.front != nil {
+			g.front.Close()
+		}
 		g.pool.Close()
 		close(g.stop)
 		g.wg.Wait()
+		g.others()
 	})
 }
 
--- a/internal/gossip/gate.go
+++ b/internal/gossip/gate.go
@@ -34,11 +34,13 @@
 	strange bucket
 	known   map[string]*bucket // by address
 	of      map[string]string  // address by member
+	members map[string]*bucket
 }
 
 // NewGate returns a Gate that knows no address.
 func NewGate(c GateConfig) *Gate {
-	return &Gate{cfg: c, strange: bucket{left: c.Strangers}, known: map[string]*bucket{}, of: map[string]string{}}
+	return &Gate{cfg: c, strange: bucket{left: c.Strangers}, known: map[string]*bucket{}, of: map[string]string{},
+		members: map[string]*bucket{}}
 }
 
 // Allow tells whether one more signature may be checked of what came from an address.
@@ -62,3 +64,14 @@
 		g.known[source] = &bucket{left: g.cfg.PerSource, at: now}
 	}
 }
+
+// AllowMember tells whether one more signature may be checked of the statements that a member, whose packet was
+// in order, passed on.
+func (g *Gate) AllowMember(now time.Duration, member string) bool {
+	b := g.members[member]
+	if b == nil {
+		b = &bucket{left: g.cfg.PerSource, at: now}
+		g.members[member] = b
+	}
+	return b.take(now, g.cfg.PerSource, g.cfg.PerSource, 1)
+}
--- /dev/null
+++ b/internal/peers/agent.go
@@ -0,0 +1,589 @@
+// Package peers runs the gossip cores for one router: its sockets, its clock and its loop. It decides nothing;
+// what goes to the router is the outcome of the router's own looks and a count that only rises.
+package peers
+
+import (
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/gossip"
+)
+
+// Config is the agent's share of the settings.
+type Config struct {
+	ID          string
+	Listen      string // host:port, UDP and TCP
+	Advertise   string // where others reach it; empty: as it listens
+	Seeds       []string
+	Gossip      gossip.Config
+	Judge       gossip.JudgeConfig
+	Gate        gossip.GateConfig
+	Witness     gossip.WitnessConfig
+	LookTimeout time.Duration
+	Seed        uint64
+	Life        uint64 // 0: the start time
+	Key         Key
+	Members     Members
+	Log         *slog.Logger
+	Wrap        func(net.PacketConn) net.PacketConn // nil, or puts faults and counters between agent and socket
+}
+
+// Key is a router's own key.
+type Key struct {
+	Name    string
+	Private ed25519.PrivateKey
+}
+
+// Members are the admitted members: keys by member and key name.
+type Members map[string]map[string]ed25519.PublicKey
+
+// Router is what the agent needs of its router. No method blocks.
+type Router interface {
+	// Look asks a worker for a sign of life, unless it was heard within heard: then void is told.
+	Look(worker string, heard, limit time.Duration, done func(alive, void bool))
+	// Peers hands the module what came of peers' word.
+	Peers(brain.Peers)
+}
+
+// Dropped counts what was not read, by reason.
+type Dropped struct {
+	Limited    uint64 `json:"over_the_limit"` // of signature checks for its source
+	Malformed  uint64 `json:"malformed"`
+	UnknownKey uint64 `json:"unknown_key"`
+	Signature  uint64 `json:"bad_signature"`
+	Replay     uint64 `json:"replayed"`
+	Queue      uint64 `json:"queue_full"`
+	Statements uint64 `json:"statements"` // within packets in order, that were forged or over the limit
+}
+
+// Packets sums the packets that were dropped.
+func (d Dropped) Packets() uint64 {
+	return d.Limited + d.Malformed + d.UnknownKey + d.Signature + d.Replay + d.Queue
+}
+
+// Status is how an agent stands.
+type Status struct {
+	ID       string            `json:"id"`
+	Addr     string            `json:"address"`
+	Key      string            `json:"key"`
+	Members  int               `json:"members"`
+	Live     int               `json:"live"`
+	MostLive int               `json:"most_live"`
+	Health   int               `json:"local_health"` // 0 is good
+	Received uint64            `json:"received"`
+	Core     gossip.Stats      `json:"core"`
+	Judge    gossip.JudgeStats `json:"judge"`
+	Dropped  Dropped           `json:"dropped"`
+}
+
+// Peer is a member as the operators see it.
+type Peer struct {
+	gossip.Member
+	State  string   `json:"state"`
+	Weight float64  `json:"weight"` // of its word of workers
+	Keys   []string `json:"keys"`
+}
+
+// KeyList is the admitted keys.
+type KeyList struct {
+	Own     string              `json:"own"` // name of the key that this router signs with
+	Members map[string][]string `json:"members"`
+}
+
+// queueMost is how many packets wait for the loop at the most; the rest are dropped, as in the network.
+const queueMost = 4096
+
+// Agent runs the cores for one router.
+type Agent struct {
+	cfg    Config
+	log    *slog.Logger
+	router Router
+	addr   string
+	begin  time.Time
+	conn   net.PacketConn
+	stream *streams
+
+	mu      sync.Mutex
+	queue   []func()
+	packets int
+	full    uint64 // dropped at the queue
+	wake    chan struct{}
+	closed  bool
+	done    chan struct{}
+	reading sync.WaitGroup
+
+	// Of the loop.
+	core     *gossip.Core
+	keys     *gossip.Keys
+	gate     *gossip.Gate
+	judge    *gossip.Judge
+	witness  *gossip.Witness
+	toCore   []any
+	toJudge  []any
+	toWit    []any
+	dropped  Dropped
+	received uint64
+	mostLive int
+	countAt  time.Duration
+	twinTold time.Duration
+}
+
+// epoch is what the agent's clock shows at its start.
+const epoch = time.Hour
+
+// Start opens the sockets and runs the agent until Close.
+func Start(cfg Config, r Router) (*Agent, error) {
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	a := &Agent{cfg: cfg, log: cfg.Log, router: r, begin: time.Now(), wake: make(chan struct{}, 1),
+		done: make(chan struct{})}
+	if err := a.open(); err != nil {
+		return nil, err
+	}
+	life := cfg.Life
+	if life == 0 {
+		life = uint64(a.begin.UnixNano())
+	}
+	a.keys = gossip.NewKeys(cfg.Key.Name, cfg.Key.Private, life)
+	var err error
+	a.core, err = gossip.New(cfg.Gossip, cfg.ID, a.addr, life, cfg.Seed, a.keys.Sign)
+	if err != nil {
+		a.shut()
+		return nil, err
+	}
+	a.gate = gossip.NewGate(cfg.Gate)
+	a.judge = gossip.NewJudge(cfg.Judge)
+	a.witness = gossip.NewWitness(cfg.Witness, a.judge.Says)
+	a.admit(cfg.Members)
+	a.toCore = append(a.toCore, gossip.Join{Addrs: cfg.Seeds})
+	a.log.Info("gossip", "address", a.addr, "key", cfg.Key.Name, "admitted", len(cfg.Members), "seeds", len(cfg.Seeds))
+	go a.loop()
+	a.reading.Go(a.read)
+	return a, nil
+}
+
+// open opens both sockets on one port.
+func (a *Agent) open() error {
+	var last error
+	for range 16 { // a port that the system chose for one may be in use for the other
+		s, err := listenStreams(a.cfg.Listen, a.takeStream)
+		if err != nil {
+			return fmt.Errorf("gossip: %w", err)
+		}
+		pc, err := net.ListenPacket("udp", s.Addr())
+		if err != nil {
+			s.Close()
+			if _, port, _ := net.SplitHostPort(a.cfg.Listen); port != "0" {
+				return fmt.Errorf("gossip: %w", err)
+			}
+			last = err
+			continue
+		}
+		if u, ok := pc.(*net.UDPConn); ok {
+			_ = u.SetReadBuffer(1 << 20) // the system may give less; what does not fit is lost, as in any network
+		}
+		a.conn, a.stream, a.addr = pc, s, s.Addr()
+		if a.cfg.Wrap != nil {
+			a.conn = a.cfg.Wrap(pc)
+		}
+		if a.cfg.Advertise != "" {
+			a.addr = a.cfg.Advertise
+		}
+		return nil
+	}
+	return fmt.Errorf("gossip: no port free for both UDP and TCP: %w", last)
+}
+
+func (a *Agent) shut() {
+	_ = a.conn.Close()
+	a.stream.Close()
+}
+
+// Addr is where others reach the agent.
+func (a *Agent) Addr() string { return a.addr }
+
+func (a *Agent) now() time.Duration { return epoch + time.Since(a.begin) }
+
+// Close ends the agent without a word, as its death would.
+func (a *Agent) Close() {
+	a.mu.Lock()
+	was := a.closed
+	a.closed = true
+	a.mu.Unlock()
+	if was {
+		return
+	}
+	a.poke()
+	<-a.done
+	a.shut()
+	a.reading.Wait()
+}
+
+func (a *Agent) poke() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// post has the loop run f.
+func (a *Agent) post(f func()) bool {
+	a.mu.Lock()
+	if a.closed {
+		a.mu.Unlock()
+		return false
+	}
+	a.queue = append(a.queue, f)
+	a.mu.Unlock()
+	a.poke()
+	return true
+}
+
+// read hands datagrams to the loop.
+func (a *Agent) read() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := a.conn.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil {
+			continue // a datagram that could not be delivered earlier
+		}
+		if n > maxDatagram {
+			n = maxDatagram + 1 // it is refused, whatever is in it
+		}
+		p := append([]byte(nil), buf[:n]...)
+		src := from.String()
+		a.packet(func() { a.take(src, p, false) })
+	}
+}
+
+const maxDatagram = 1400
+
+func (a *Agent) takeStream(src string, p []byte) { a.packet(func() { a.take(src, p, true) }) }
+
+// packet posts a packet's reading while not too many wait.
+func (a *Agent) packet(f func()) {
+	a.mu.Lock()
+	if a.closed || a.packets >= queueMost {
+		a.full++
+		a.mu.Unlock()
+		return
+	}
+	a.packets++
+	a.queue = append(a.queue, f)
+	a.mu.Unlock()
+	a.poke()
+}
+
+func (a *Agent) loop() {
+	defer close(a.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var batch []func()
+	for {
+		select {
+		case <-a.wake:
+		case <-timer.C:
+		}
+		a.mu.Lock()
+		if a.closed {
+			a.mu.Unlock()
+			return
+		}
+		batch, a.queue = a.queue, batch[:0]
+		a.packets = 0
+		a.mu.Unlock()
+		for _, f := range batch {
+			f()
+		}
+		clear(batch)
+		a.step()
+		timer.Reset(max(a.due()-a.now(), 0))
+	}
+}
+
+func (a *Agent) due() time.Duration {
+	at := min(a.core.Due(), a.countAt)
+	if w, ok := a.witness.Due(); ok {
+		at = min(at, w)
+	}
+	return at
+}
+
+// step hands what has come to the cores, and what one decides to the next, until nothing is left.
+func (a *Agent) step() {
+	for first := true; first || len(a.toCore)+len(a.toJudge)+len(a.toWit) > 0; first = false {
+		now := a.now()
+		for _, o := range a.witness.Step(now, drain(&a.toWit)) {
+			a.toCore = append(a.toCore, o)
+		}
+		for _, o := range a.core.Step(now, drain(&a.toCore)) {
+			a.act(o)
+		}
+		for _, o := range a.judge.Step(now, drain(&a.toJudge)) {
+			a.actJudge(o)
+		}
+	}
+	if now := a.now(); now >= a.countAt {
+		a.count(now)
+	}
+}
+
+func drain(list *[]any) []any {
+	out := *list
+	*list = nil
+	return out
+}
+
+// count tells the router of the most members ever seen live at once. It never falls: members that vanished may
+// only be cut off, and still take their shares.
+func (a *Agent) count(now time.Duration) {
+	a.countAt = now + time.Second
+	if n := a.core.Live(); n > a.mostLive {
+		a.mostLive = n
+		a.router.Peers(brain.Peers{Routers: n})
+	}
+}
+
+func (a *Agent) act(o any) {
+	switch o := o.(type) {
+	case gossip.Send:
+		a.send(o)
+	case gossip.Change:
+		a.log.Info("peer", "peer", o.ID, "state", o.State)
+		a.countAt = 0
+	case gossip.Heard:
+		s := &o.Statement
+		a.log.Debug("word of a worker", "worker", s.Subject, "is", s.About, "class", s.Text, "by", s.Signer, "age", o.Age)
+		a.toJudge = append(a.toJudge, gossip.Claim{Worker: s.Subject, Started: s.Of, About: s.About, Class: s.Text,
+			Signer: s.Signer, Age: o.Age})
+	case gossip.Raise:
+		a.keys.Raise(o.To)
+		a.log.Warn("an earlier life of this router counted further; was the clock set back?", "to", o.To)
+	case gossip.Twin:
+		if now := a.now(); now-a.twinTold > 10*time.Second {
+			a.twinTold = now
+			a.log.Error("another process speaks under this router's name and key", "from", o.Addr)
+		}
+	}
+}
+
+func (a *Agent) actJudge(o any) {
+	switch o := o.(type) {
+	case gossip.Look:
+		a.router.Look(o.Worker, a.cfg.Judge.Heard, a.cfg.LookTimeout, func(alive, void bool) {
+			a.post(func() {
+				a.toJudge = append(a.toJudge, gossip.Looked{Worker: o.Worker, Alive: alive, Void: void})
+			})
+		})
+	case gossip.FoundSilent:
+		a.log.Info("peers' word of a silent worker bears out", "worker", o.Worker)
+		a.router.Peers(brain.Peers{Silent: []string{o.Worker}})
+	}
+}
+
+func (a *Agent) send(s gossip.Send) {
+	p, err := a.keys.Seal(s.Message)
+	if err != nil {
+		a.log.Error("message not sent", "error", err)
+		return
+	}
+	if s.Stream {
+		a.stream.Send(s.To, p)
+		return
+	}
+	to, err := resolve(s.To)
+	if err != nil {
+		a.log.Debug("address of no use", "address", s.To, "error", err)
+		return
+	}
+	_, _ = a.conn.WriteTo(p, to) // what is not sent counts as lost
+}
+
+// resolve reads an address. Names are not looked up here, as that could block the loop.
+func resolve(addr string) (*net.UDPAddr, error) {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	ip, n := net.ParseIP(host), 0
+	if n, err = strconv.Atoi(port); err != nil || ip == nil || n < 1 || n > 65535 {
+		return nil, fmt.Errorf("%q is no IP address and port", addr)
+	}
+	return &net.UDPAddr{IP: ip, Port: n}, nil
+}
+
+// take reads one packet. What fails costs little: nothing is parsed, and no signature checked, beyond the
+// gate's bounds.
+func (a *Agent) take(src string, p []byte, stream bool) {
+	now := a.now()
+	if !stream && len(p) > maxDatagram {
+		a.dropped.Malformed++
+		return
+	}
+	if !a.gate.Allow(now, src) {
+		a.dropped.Limited++
+		return
+	}
+	m, seen, err := a.keys.Open(p)
+	switch {
+	case errors.Is(err, gossip.ErrMalformed):
+		a.dropped.Malformed++
+	case errors.Is(err, gossip.ErrUnknownKey):
+		a.dropped.UnknownKey++
+	case errors.Is(err, gossip.ErrSignature):
+		a.dropped.Signature++
+	case errors.Is(err, gossip.ErrReplay):
+		a.dropped.Replay++
+		if seen-m.Count > 1<<28 { // far below: a life that began with its clock set back
+			a.toCore = append(a.toCore, gossip.Stale{Message: m, Seen: seen})
+		}
+	}
+	if err != nil {
+		a.log.Debug("packet dropped", "from", src, "reason", err)
+		return
+	}
+	a.received++
+	if !stream {
+		a.gate.Good(now, src, m.From)
+	}
+	keep := m.Statements[:0]
+	for i := range m.Statements {
+		s := &m.Statements[i]
+		switch {
+		case !a.core.Wants(s):
+		case !a.gate.AllowMember(now, m.From) || a.keys.Check(s) != nil:
+			a.dropped.Statements++
+		default:
+			keep = append(keep, *s)
+		}
+	}
+	m.Statements = keep
+	// One at a time, as what the core wants depends on what it has learned.
+	for _, o := range a.core.Step(now, append(drain(&a.toCore), gossip.Received{Message: m})) {
+		a.act(o)
+	}
+}
+
+// admit follows the list of admitted members.
+func (a *Agent) admit(m Members) {
+	a.keys.Admit(m)
+	a.toCore = append(a.toCore, gossip.Admit{Admitted: func(id string) bool { return id == a.cfg.ID || m[id] != nil }})
+	if own := m[a.cfg.ID][a.keys.Name()]; own == nil {
+		a.log.Warn("this router's own key is not among the admitted ones", "key", a.keys.Name())
+	} else if pub, ok := a.cfg.Key.Private.Public().(ed25519.PublicKey); !ok || !pub.Equal(own) {
+		a.log.Error("the admitted key of this router's is not the one that it signs with", "key", a.keys.Name())
+	}
+}
+
+// SetMembers admits exactly these members from now on.
+func (a *Agent) SetMembers(m Members) {
+	a.post(func() {
+		a.log.Info("admitted members", "members", len(m))
+		a.cfg.Members = m
+		a.admit(m)
+	})
+}
+
+// SetKey signs with another key from now on.
+func (a *Agent) SetKey(k Key) {
+	a.post(func() {
+		a.log.Info("own key", "key", k.Name)
+		a.cfg.Key = k
+		a.keys.Use(k.Name, k.Private)
+		a.admit(a.cfg.Members)
+	})
+}
+
+// SetWorkers follows the list of workers: start times in Unix milliseconds, 0 for long ago.
+func (a *Agent) SetWorkers(started map[string]uint64) {
+	a.post(func() {
+		a.toWit = append(a.toWit, gossip.Workers{Started: started})
+		a.toJudge = append(a.toJudge, gossip.Workers{Started: started})
+	})
+}
+
+// Doubted tells of a doubt that the router has by its own evidence.
+func (a *Agent) Doubted(d brain.Doubt) {
+	about := gossip.Silent
+	if d.Slow {
+		about = gossip.Slow
+	} else if d.Class != "" {
+		about = gossip.Failing
+	}
+	a.post(func() {
+		a.toWit = append(a.toWit, gossip.Doubted{Worker: d.Worker, About: about, Text: d.Class})
+	})
+}
+
+// HeardOf tells that a worker that was doubted to be silent gave a sign of life.
+func (a *Agent) HeardOf(worker string) {
+	a.post(func() {
+		a.toWit = append(a.toWit, gossip.HeardOf{Worker: worker})
+		a.toJudge = append(a.toJudge, gossip.HeardOf{Worker: worker})
+	})
+}
+
+// ask has the loop answer.
+func ask[T any](a *Agent, f func() T) (out T) {
+	got := make(chan T, 1)
+	if !a.post(func() { got <- f() }) {
+		return out
+	}
+	select {
+	case out = <-got:
+	case <-a.done:
+	}
+	return out
+}
+
+// Status tells how the agent stands.
+func (a *Agent) Status() Status {
+	return ask(a, func() Status {
+		s := Status{ID: a.cfg.ID, Addr: a.addr, Key: a.keys.Name(), Members: len(a.core.Members()), Live: a.core.Live(),
+			MostLive: a.mostLive, Health: a.core.Health(), Received: a.received, Core: a.core.Stats(),
+			Judge: a.judge.Stats(), Dropped: a.dropped}
+		a.mu.Lock()
+		s.Dropped.Queue = a.full
+		a.mu.Unlock()
+		return s
+	})
+}
+
+// Peers lists the members known.
+func (a *Agent) Peers() []Peer {
+	return ask(a, func() (out []Peer) {
+		for _, m := range a.core.Members() {
+			out = append(out, Peer{Member: m, State: m.State.String(), Weight: a.judge.Weight(m.ID),
+				Keys: slices.Sorted(maps.Keys(a.keys.Admitted(m.ID)))})
+		}
+		return out
+	})
+}
+
+// Suspicions lists what is said of workers.
+func (a *Agent) Suspicions() []gossip.Suspicion {
+	return ask(a, func() []gossip.Suspicion { return a.judge.Suspicions() })
+}
+
+// Keys lists the admitted keys by name.
+func (a *Agent) Keys() KeyList {
+	return ask(a, func() KeyList {
+		out := KeyList{Own: a.keys.Name(), Members: map[string][]string{}}
+		for id, k := range a.cfg.Members {
+			out.Members[id] = slices.Sorted(maps.Keys(k))
+		}
+		return out
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,9 +58,17 @@
 	Roster       roster.Settings
 	Decider      func(brain.Settings, uint64) (Decider, error) // nil: the module; baselines stand in for it
 	Log          *slog.Logger
+	Peers        Peers                                                                 // nil: no gossip
 	Tap          func(now time.Duration, events []brain.Event, actions []brain.Action) // nil, or told of each Step
 }
 
+// Peers is told by the loop what this router comes to hold against workers, and takes it back. Its methods don't
+// block.
+type Peers interface {
+	Doubted(brain.Doubt)
+	HeardOf(worker string)
+}
+
 // Decider is what decides: the module, or a baseline behind the same events.
 type Decider interface {
 	Step(now time.Duration, events []brain.Event) []brain.Action
@@ -91,12 +99,17 @@
 	killed bool
 	fns    map[string]*function
 	stats  Stats
+
+	// With gossip only: when each worker last gave a sign of life, and those that peers were told are silent.
+	peers  Peers
+	heard  map[string]time.Duration
+	silent map[string]bool
 }
 
 // Stats counts what a router has done.
 type Stats struct {
 	Calls, Served, Refused, Failed, Dropped uint64
-	Attempts, Orders, Probes                uint64
+	Attempts, Orders, Probes, Looks         uint64
 	Open                                    int
 }
 
@@ -117,7 +130,8 @@
 	}
 	r := &Router{cfg: cfg, up: up, begin: time.Now(), wake: make(chan struct{}, 1), ended: make(chan struct{}),
 		core: core, roster: roster.New(cfg.Roster), calls: map[brain.RequestID]*entry{},
-		wheel: wheel.New(time.Millisecond, epoch), fns: map[string]*function{}}
+		wheel: wheel.New(time.Millisecond, epoch), fns: map[string]*function{}, heard: map[string]time.Duration{},
+		silent: map[string]bool{}}
 	go r.loop()
 	return r, nil
 }
@@ -264,6 +278,13 @@
 		r.probe(a.Worker)
 	case brain.Wake:
 		r.due = r.now + a.After
+	case brain.Doubt:
+		if r.peers != nil {
+			if !a.Slow && a.Class == "" {
+				r.silent[a.Worker] = true
+			}
+			r.peers.Doubted(a)
+		}
 	case brain.Note:
 		r.cfg.Log.Info("module", "note", a.Text)
 	case brain.Watch: // the list comes by itself
@@ -372,6 +393,7 @@
 func (r *Router) AttemptBegan(token Token, metadata []hpack.Field) {
 	t := token.t
 	r.post(func() {
+		r.alive(t.worker, brain.OK)
 		if t.e.began(t, metadata) {
 			r.events = append(r.events, brain.Started{ID: t.e.id, Attempt: t.n, Worker: t.worker,
 				Took: r.now - t.sent})
@@ -402,6 +424,7 @@
 			r.stats.Failed++
 		}
 	}
+	r.alive(t.worker, how.Result)
 	company := -1
 	if how.Report.Company >= 0 {
 		company = int(how.Report.Company)
@@ -431,6 +454,7 @@
 	r.cfg.Log.Debug("order", "worker", a.Worker, "model", fn.model, "copies", a.Copies)
 	r.up.Load(a.Worker, fn.model, fn.version, a.Copies, r.cfg.OrderTimeout, func(o Order) {
 		r.post(func() {
+			r.alive(a.Worker, o.Result)
 			r.events = append(r.events, brain.Loaded{Worker: a.Worker, Function: a.Function, Result: o.Result,
 				Took: r.now - begin, Copies: o.Copies})
 		})
@@ -442,12 +466,58 @@
 	r.stats.Probes++
 	r.up.Ask(worker, r.cfg.ProbeTimeout, func(p Probe) {
 		r.post(func() {
+			r.alive(worker, p.Result)
 			r.events = append(r.events, brain.Probed{Worker: worker, Result: p.Result, Took: r.now - begin,
 				Load: load(p.Report)})
 		})
 	})
 }
 
+// Peers -----------------------------------------------------------------------------------------------
+
+// answered tells whether a result shows that the worker lives.
+func answered(res brain.Result) bool {
+	return res == brain.OK || res == brain.Errored || res == brain.Refused || res == brain.Missed
+}
+
+// alive notes a sign of life, where peers are of any concern.
+func (r *Router) alive(worker string, res brain.Result) {
+	if r.peers == nil || !answered(res) {
+		return
+	}
+	r.heard[worker] = r.now
+	if len(r.silent) > 0 && r.silent[worker] {
+		delete(r.silent, worker)
+		r.peers.HeardOf(worker)
+	}
+}
+
+// SetPeers has peers told from now on. The module tells its doubts where its settings ask for it.
+func (r *Router) SetPeers(p Peers) { r.post(func() { r.peers = p }) }
+
+// Look asks a worker for a sign of life, unless it gave one within heard: then void is told. The module is not
+// told of an answer, so peers' word can bring it nothing good of a worker.
+func (r *Router) Look(worker string, heard, limit time.Duration, done func(alive, void bool)) {
+	r.post(func() {
+		if at, ok := r.heard[worker]; ok && r.now-at < heard {
+			done(false, true)
+			return
+		}
+		r.stats.Looks++
+		r.up.Ask(worker, limit, func(p Probe) {
+			r.post(func() {
+				r.alive(worker, p.Result)
+				done(answered(p.Result), false)
+			})
+		})
+	})
+}
+
+// Peers hands the module what came of peers' word.
+func (r *Router) Peers(e brain.Peers) {
+	r.post(func() { r.events = append(r.events, e) })
+}
+
 // List ------------------------------------------------------------------------------------------------
 
 // SetWorkers hands the router a new whole list.
@@ -472,6 +542,8 @@
 			addresses[m.ID] = w.Address
 		}
 		r.up.Workers(addresses)
+		maps.DeleteFunc(r.heard, func(id string, _ time.Duration) bool { return addresses[id] == "" })
+		maps.DeleteFunc(r.silent, func(id string, _ bool) bool { return addresses[id] == "" })
 		r.events = append(r.events, brain.Roster{Whole: true, Members: members})
 	}
 	for _, id := range out.Ask {
--- a/internal/transport/http2/server.go
+++ b/internal/transport/http2/server.go
@@ -8,13 +8,15 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+
+	"github.com/topazfront/topazfront/internal/transport/listen"
 )
 
 // Server accepts connections on one listener.
 type Server struct {
 	cfg     Config
 	handler func(*Conn) Handler
-	ln      *listener
+	ln      *listen.Listener
 	loop    netpoll.EventLoop
 
 	mu    sync.Mutex
@@ -27,7 +29,7 @@
 // Listen opens a listener, on "tcp" or "unix", and serves it until Close. handler is asked for each
 // connection's Handler before its first frame.
 func Listen(network, addr string, cfg Config, handler func(*Conn) Handler) (*Server, error) {
-	ln, err := listen(network, addr)
+	ln, err := listen.On(network, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +72,7 @@
 		return nil, err
 	}
 	go func() { _ = s.loop.Serve(ln) }()
-	<-ln.started // from here on Close ends the loop's watch before the descriptor is gone
+	<-ln.Watched() // from here on Close ends the loop's watch before the descriptor is gone
 	return s, nil
 }
 
--- a/internal/transport/http2/listener.go
+++ b/internal/transport/listen/listen.go
@@ -1,4 +1,5 @@
-package http2
+// Package listen opens listening sockets for netpoll's event loops.
+package listen
 
 import (
 	"fmt"
@@ -8,10 +9,10 @@
 	"syscall"
 )
 
-// listener is a listening socket for netpoll's event loop. netpoll's own closes its descriptor twice, within
+// Listener is a listening socket for netpoll's event loop. netpoll's own closes its descriptor twice, within
 // Close and again with each further Close; in between another goroutine may have been given the number, and
 // loses its connection without a sign. This one closes each descriptor once.
-type listener struct {
+type Listener struct {
 	net.Listener
 	file    *os.File // a copy of the descriptor, which the event loop watches
 	fd      int
@@ -20,7 +21,8 @@
 	begin   sync.Once
 }
 
-func listen(network, addr string) (*listener, error) {
+// On opens a listener, on "tcp" or "unix".
+func On(network, addr string) (*Listener, error) {
 	ln, err := net.Listen(network, addr)
 	if err != nil {
 		return nil, err
@@ -28,14 +30,14 @@
 	f, ok := ln.(interface{ File() (*os.File, error) })
 	if !ok {
 		_ = ln.Close()
-		return nil, fmt.Errorf("http2: no descriptor for a listener on %s", network)
+		return nil, fmt.Errorf("listen: no descriptor for a listener on %s", network)
 	}
 	file, err := f.File()
 	if err != nil {
 		_ = ln.Close()
 		return nil, err
 	}
-	l := &listener{Listener: ln, file: file, fd: int(file.Fd()), started: make(chan struct{})}
+	l := &Listener{Listener: ln, file: file, fd: int(file.Fd()), started: make(chan struct{})}
 	if err := syscall.SetNonblock(l.fd, true); err != nil {
 		_ = l.Close()
 		return nil, err
@@ -43,14 +45,18 @@
 	return l, nil
 }
 
+// Watched is closed when the event loop has taken the descriptor: from then on its Shutdown ends the watch before
+// Close lets the descriptor go.
+func (l *Listener) Watched() <-chan struct{} { return l.started }
+
 // Fd is the descriptor that the event loop watches.
-func (l *listener) Fd() int {
+func (l *Listener) Fd() int {
 	l.begin.Do(func() { close(l.started) })
 	return l.fd
 }
 
 // Accept returns the next connection, or nil without an error when none waits.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	fd, sa, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 	switch err {
 	case nil:
@@ -73,7 +79,7 @@
 }
 
 // Close ends the listener, once.
-func (l *listener) Close() (err error) {
+func (l *Listener) Close() (err error) {
 	l.once.Do(func() {
 		err = l.file.Close()
 		if e := l.Listener.Close(); err == nil {
