Operators' socket: a method that panics is answered

Cause: the answer was only owed when the method had returned, so after a panic the caller waited in vain.

Change: what is owed is settled before the method runs. Result: the test passes with -race.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -161,6 +161,7 @@
 		out.ID = q.ID
 	}
 	m, known := methods[q.Method]
+	owed = q.ID != nil // set before the method runs: one that panics is answered too
 	switch {
 	case q.Version != "2.0" || q.Method == "":
 		out.Error = &Error{invalidRequest, `"jsonrpc" must be "2.0", and "method" be given`}
@@ -181,7 +182,7 @@
 			out.Result = struct{}{}
 		}
 	}
-	return out, q.ID != nil
+	return out, owed
 }
 
 func write(c netpoll.Connection, out response) {
