--- a/cmd/topazfront/main.go
+++ b/cmd/topazfront/main.go
@@ -162,6 +162,8 @@
 	Policy  []string `enum:"module,random" default:"module" help:"What decides: the module, or a baseline; several are played in turn (module, random)."`
 	Seed    uint64   `help:"Another seed than the day's."`
 	Quietly bool     `help:"No live line."`
+	Gossip  string   `enum:"script,off" default:"script" help:"Gossip between the routers: as the script has it, or off (script, off)."`
+	Calm    bool     `help:"Without the script's troubles."`
 }
 
 func (c dayRunCmd) Run(ctx context.Context, p *program) error {
@@ -172,6 +174,12 @@
 	if c.Seed > 0 {
 		s.Seed = c.Seed
 	}
+	if c.Gossip == "off" {
+		s.Gossip = nil
+	}
+	if c.Calm {
+		s.Trouble = nil
+	}
 	var reports []*day.Report
 	broken := false
 	for _, policy := range c.Policy {
--- a/internal/config/gossip.go
+++ b/internal/config/gossip.go
@@ -20,6 +20,7 @@
 
 // Gossip is the settings of gossip between routers.
 type Gossip struct {
+	ID          string   `json:"id"`
 	Listen      string   `json:"listen"`
 	Advertise   string   `json:"advertise"`
 	Seeds       []string `json:"seeds"`
@@ -56,6 +57,9 @@
 
 // Agent is the agent's settings; what is read from files is not in them yet.
 func (g *Gossip) Agent(name string, seed uint64) peers.Config {
+	if g.ID != "" {
+		name = g.ID
+	}
 	c := peers.Config{ID: name, Listen: g.Listen, Advertise: g.Advertise, Seeds: g.Seeds, Gossip: gossip.Local,
 		Judge: gossip.LocalJudge, Gate: gossip.LocalGate, Witness: gossip.LocalWitness,
 		LookTimeout: g.LookTimeout.Duration(), Seed: seed}
--- a/internal/config/workers.go
+++ b/internal/config/workers.go
@@ -81,8 +81,11 @@
 }
 
 // WriteWorkers replaces a list in one step: a reader sees the old one or the new one whole.
-func WriteWorkers(path string, l WorkerList) error {
-	raw, err := json.MarshalIndent(l, "", " ")
+func WriteWorkers(path string, l WorkerList) error { return WriteFile(path, l) }
+
+// WriteFile replaces a file by a value as JSON, in one step.
+func WriteFile(path string, v any) error {
+	raw, err := json.MarshalIndent(v, "", " ")
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/day/gossip.go
@@ -0,0 +1,340 @@
+package day
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/topazfront/topazfront/internal/config"
+	"github.com/topazfront/topazfront/internal/gateway"
+	"github.com/topazfront/topazfront/internal/peers"
+	"github.com/topazfront/topazfront/internal/rules"
+	"github.com/topazfront/topazfront/internal/standin/peer"
+)
+
+// party is the gossip of a day: keys, the network between the routers, and who spoils it.
+type party struct {
+	set     *Gossip
+	dir     string
+	seed    uint64
+	net     *peer.Net
+	meters  []*peer.Meter
+	forgers []*peer.Forger
+	liars   []*peer.Liar
+	stop    chan struct{}
+	wg      sync.WaitGroup
+
+	mu      sync.Mutex
+	keyName string
+	addrs   []string // by slot
+	conns   []*peer.Conn
+	gone    peers.Dropped // of lives that ended
+}
+
+// keyOf is a member's key of a name, made from the day's seed: stand-ins only.
+func (p *party) keyOf(id, name string) ed25519.PrivateKey {
+	seed := sha256.Sum256(fmt.Appendf(nil, "%d %s %s", p.seed, id, name))
+	return ed25519.NewKeyFromSeed(seed[:])
+}
+
+func slotID(i int) string { return fmt.Sprintf("r%d", i) }
+
+func newParty(s *Script, dir string) (*party, error) {
+	p := &party{set: s.Gossip, dir: dir, seed: s.Seed, net: peer.NewNet(s.Seed), keyName: "k1",
+		addrs: make([]string, s.Routers), conns: make([]*peer.Conn, s.Routers), stop: make(chan struct{})}
+	p.net.Set(peer.Faults{Loss: s.Gossip.Loss})
+	c := p.agent(&config.Gossip{Preset: "local", Bytes: s.Gossip.Bytes}, "")
+	for i := range s.Routers {
+		p.meters = append(p.meters, &peer.Meter{Rate: c.Gossip.BytesPerSecond, Burst: c.Gossip.BurstBytes,
+			PerSec: c.Gossip.MessagesPerSec, Count: c.Gossip.BurstMessages})
+		if err := p.writeKey(i, "k1"); err != nil {
+			return nil, err
+		}
+	}
+	return p, p.writeMembers(s.Routers, "k1")
+}
+
+func (p *party) agent(g *config.Gossip, id string) peers.Config { return g.Agent(id, p.seed) }
+
+func (p *party) liarID(i int) string { return fmt.Sprintf("liar%d", i) }
+
+// writeMembers writes the file of admitted members with keys of these names each.
+func (p *party) writeMembers(routers int, names ...string) error {
+	var l config.MemberList
+	add := func(id string) {
+		m := config.MemberLine{ID: id}
+		for _, n := range names {
+			pub, _ := p.keyOf(id, n).Public().(ed25519.PublicKey)
+			m.Keys = append(m.Keys, config.KeyLine{ID: n, Public: base64.StdEncoding.EncodeToString(pub)})
+		}
+		l.Members = append(l.Members, m)
+	}
+	for i := range routers {
+		add(slotID(i))
+	}
+	for i := range p.set.Liars {
+		add(p.liarID(i))
+	}
+	return config.WriteFile(filepath.Join(p.dir, "members.json"), l)
+}
+
+func (p *party) keyFile(i int) string { return filepath.Join(p.dir, fmt.Sprintf("key-%d.pem", i)) }
+
+func (p *party) writeKey(i int, name string) error {
+	raw, err := config.FormatKey(peers.Key{Name: name, Private: p.keyOf(slotID(i), name)})
+	if err != nil {
+		return err
+	}
+	tmp := p.keyFile(i) + ".new"
+	if err := os.WriteFile(tmp, raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(tmp, p.keyFile(i))
+}
+
+// settings are one router's.
+func (p *party) settings(i int) *config.Gossip {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := &config.Gossip{ID: slotID(i), Listen: "127.0.0.1:0", Preset: "local", Bytes: p.set.Bytes, LookTimeout: 400,
+		Members: filepath.Join(p.dir, "members.json"), Key: p.keyFile(i)}
+	if p.addrs[i] != "" {
+		g.Listen = p.addrs[i] // a later life is found where the earlier was
+	}
+	for _, a := range p.addrs {
+		if a != "" && a != p.addrs[i] && len(g.Seeds) < 3 {
+			g.Seeds = append(g.Seeds, a)
+		}
+	}
+	return g
+}
+
+// hooks stand between one router and its sockets.
+func (p *party) hooks(i int) peers.Hooks {
+	m := p.meters[i]
+	return peers.Hooks{Packets: func(c net.PacketConn) net.PacketConn {
+		w := p.net.Wrap(c, m)
+		p.mu.Lock()
+		p.conns[i] = w
+		p.mu.Unlock()
+		return w
+	}, Stream: func(_ string, n int) bool { m.Add(n); return true }}
+}
+
+// joined notes where a router's life listens.
+func (p *party) joined(i int, g *gateway.Gateway) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addrs[i] = g.Peers().Addr()
+}
+
+// retire keeps what a life counted that is about to end.
+func (p *party) retire(g *gateway.Gateway) {
+	d := g.Peers().Status().Dropped
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gone.Limited, p.gone.Malformed = p.gone.Limited+d.Limited, p.gone.Malformed+d.Malformed
+	p.gone.UnknownKey, p.gone.Signature = p.gone.UnknownKey+d.UnknownKey, p.gone.Signature+d.Signature
+	p.gone.Replay, p.gone.Queue = p.gone.Replay+d.Replay, p.gone.Queue+d.Queue
+}
+
+// begin starts those who spoil it, once all routers are up.
+func (p *party) begin(r *Rig) error {
+	var names, keyIDs []string
+	for i := range r.routers {
+		names, keyIDs = append(names, slotID(i)), append(keyIDs, "k1")
+	}
+	p.mu.Lock()
+	addrs := slices.Clone(p.addrs)
+	p.mu.Unlock()
+	for i := range p.set.Forgers {
+		f, err := peer.NewForger(p.seed+uint64(i), names, keyIDs)
+		if err != nil {
+			return err
+		}
+		p.forgers = append(p.forgers, f)
+		p.wg.Go(func() {
+			t := time.NewTicker(time.Duration(float64(time.Second) * float64(len(addrs)) / max(p.set.Forged, 1)))
+			defer t.Stop()
+			for {
+				select {
+				case <-p.stop:
+					return
+				case <-t.C:
+					f.Send(addrs, 1)
+				}
+			}
+		})
+	}
+	l := r.lines()
+	starts := l.Starts()
+	for i := range p.set.Liars {
+		id := p.liarID(i)
+		c := p.agent(&config.Gossip{Listen: "127.0.0.1:0", Preset: "local", Seeds: addrs[:min(3, len(addrs))]}, id)
+		c.Key = peers.Key{Name: "k1", Private: p.keyOf(id, "k1")}
+		raw, err := os.ReadFile(filepath.Join(p.dir, "members.json"))
+		if err != nil {
+			return err
+		}
+		m, err := config.ParseMembers("members.json", raw)
+		if err != nil {
+			return err
+		}
+		c.Members = m
+		l, err := peer.NewLiar(c)
+		if err != nil {
+			return err
+		}
+		l.Accuse(starts)
+		p.liars = append(p.liars, l)
+	}
+	if p.set.Mute > 0 {
+		r.later(p.set.MuteAt.D(), func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for _, c := range p.conns[len(p.conns)-p.set.Mute:] {
+				c.Mute()
+			}
+		})
+	}
+	if at := p.set.ExchKey.D(); at > 0 {
+		note := func(err error) {
+			if err != nil {
+				r.opt.Log.Error("key not exchanged", "error", err)
+			}
+		}
+		r.later(at, func() { note(p.writeMembers(len(r.routers), "k1", "k2")) })
+		r.later(at+1500*time.Millisecond, func() {
+			for i := range r.routers {
+				note(p.writeKey(i, "k2"))
+			}
+			p.mu.Lock()
+			p.keyName = "k2"
+			p.mu.Unlock()
+		})
+		r.later(at+4*time.Second, func() { note(p.writeMembers(len(r.routers), "k2")) })
+	}
+	return nil
+}
+
+func (p *party) end() {
+	select {
+	case <-p.stop:
+		return
+	default:
+	}
+	close(p.stop)
+	p.wg.Wait()
+	for _, f := range p.forgers {
+		f.Close()
+	}
+	for _, l := range p.liars {
+		l.Close()
+	}
+}
+
+// GossipReport is what a day's gossip came to.
+type GossipReport struct {
+	Cap       float64       `json:"cap_bytes_per_s"`
+	Most      float64       `json:"most_bytes_per_s"` // of a router, at its socket, over the day
+	Mean      float64       `json:"mean_bytes_per_s"`
+	Over      int           `json:"times_over_cap"`
+	Forged    int           `json:"forged_sent"`
+	Dropped   peers.Dropped `json:"dropped"`
+	Claims    uint64        `json:"claims"`
+	Looks     uint64        `json:"looks"`
+	Silent    uint64        `json:"found_silent"`
+	WellFound uint64        `json:"looks_that_found_a_worker_well"`
+	LeastLive int           `json:"least_live_seen"`
+	LiarMost  float64       `json:"most_weight_of_a_liar"`
+	Keys      []string      `json:"keys_in_use"`
+}
+
+// report asks the routers, which must still run. It stops the forgers first and lets what is under way come.
+func (p *party) report(r *Rig) *GossipReport {
+	p.end()
+	out := &GossipReport{Cap: p.meters[0].Rate, LeastLive: 1 << 30, Dropped: p.gone}
+	for _, f := range p.forgers {
+		out.Forged += f.Sent
+	}
+	sum := func() (d peers.Dropped) {
+		d = p.gone
+		for _, sl := range r.routers {
+			s := sl.g.Peers().Status().Dropped
+			d.Limited, d.Malformed, d.UnknownKey = d.Limited+s.Limited, d.Malformed+s.Malformed, d.UnknownKey+s.UnknownKey
+			d.Signature, d.Replay, d.Queue = d.Signature+s.Signature, d.Replay+s.Replay, d.Queue+s.Queue
+			d.Statements += s.Statements
+		}
+		return d
+	}
+	for range 50 {
+		if out.Dropped = sum(); out.Dropped.Packets() >= uint64(out.Forged) {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for i, sl := range r.routers {
+		s := sl.g.Peers().Status()
+		_, _, rate, over := p.meters[i].Totals()
+		out.Most, out.Mean, out.Over = max(out.Most, rate), out.Mean+rate/float64(len(r.routers)), out.Over+over
+		out.Claims, out.Looks = out.Claims+s.Judge.Claims, out.Looks+s.Judge.Looks
+		out.Silent, out.WellFound = out.Silent+s.Judge.Silent, out.WellFound+s.Judge.Contradicted
+		out.LeastLive = min(out.LeastLive, s.Live)
+		if !slices.Contains(out.Keys, s.Key) {
+			out.Keys = append(out.Keys, s.Key)
+		}
+		for _, m := range sl.g.Peers().Peers() {
+			if len(m.ID) > 4 && m.ID[:4] == "liar" {
+				out.LiarMost = max(out.LiarMost, m.Weight)
+			}
+		}
+	}
+	return out
+}
+
+// Silence is what was sent to workers while they were silent.
+type Silence struct {
+	Workers  int     `json:"workers"`
+	Attempts int     `json:"attempts"`
+	P50      float64 `json:"p50_s"`  // from the beginning of the silence,
+	P95      float64 `json:"p95_s"`  // over those attempts
+	Stop     float64 `json:"stop_s"` // mean over routers of their last attempt at one, of those that sent any
+}
+
+// silent is a worker's silence.
+type silent struct {
+	worker string
+	from   time.Duration
+	till   time.Duration
+}
+
+func silence(list []silent, records []rules.Record) *Silence {
+	out := &Silence{Workers: len(list)}
+	var at []float64
+	last := map[[2]string]float64{}
+	for _, x := range records {
+		for _, s := range list {
+			if x.Kind == rules.Got && x.Worker == s.worker && x.At >= s.from && x.At < s.till {
+				d := (x.At - s.from).Seconds()
+				at = append(at, d)
+				last[[2]string{x.Router, x.Worker}] = d
+			}
+		}
+	}
+	if out.Attempts = len(at); out.Attempts == 0 {
+		return out
+	}
+	slices.Sort(at)
+	out.P50, out.P95 = at[len(at)/2], at[len(at)*95/100]
+	for _, d := range last {
+		out.Stop += d / float64(len(last))
+	}
+	return out
+}
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -141,6 +141,8 @@
 	Records  int           `json:"records"`
 	Breaches []string      `json:"breaches"`
 	Rules    [5]int        `json:"breaches_by_rule"`
+	Silence  *Silence      `json:"silence,omitempty"`
+	Gossip   *GossipReport `json:"gossip,omitempty"`
 }
 
 func (r *Rig) site() rules.Site {
@@ -187,6 +189,9 @@
 			out.Orders++
 		}
 	}
+	if len(r.silences) > 0 {
+		out.Silence = silence(r.silences, records)
+	}
 	out.Fetches, out.Turned = r.store.Fetches()
 	for _, t := range s.Trouble {
 		out.Troubles = append(out.Troubles, t.Kind)
@@ -216,6 +221,18 @@
 	}
 	fmt.Fprintf(w, "service %.3f (worth answered in time over worth asked for); %d attempts, %d load orders, "+
 		"%d fetches from the store, %d turned away\n\n", r.Service, r.Attempts, r.Orders, r.Fetches, r.Turned)
+	if s := r.Silence; s != nil {
+		fmt.Fprintf(w, "silent workers: %d; %d attempts went there, half within %.2f s, 95 of 100 within %.2f s; a router's "+
+			"last after %.2f s\n", s.Workers, s.Attempts, s.P50, s.P95, s.Stop)
+	}
+	if g := r.Gossip; g != nil {
+		fmt.Fprintf(w, "gossip: %.0f bytes/s a router, %.0f at most, cap %.0f, exceeded %d times; forged %d, dropped %d; "+
+			"%d claims, %d looks, %d found a silent worker, %d a healthy one\n", g.Mean, g.Most, g.Cap, g.Over, g.Forged,
+			g.Dropped.Packets(), g.Claims, g.Looks, g.Silent, g.WellFound)
+	}
+	if r.Silence != nil || r.Gossip != nil {
+		fmt.Fprintln(w)
+	}
 	for i, n := range r.Rules {
 		verdict := "kept"
 		if n > 0 {
--- a/internal/day/rig.go
+++ b/internal/day/rig.go
@@ -52,6 +52,7 @@
 	routers []*slot
 	models  map[string]worker.Model
 	tally   *tally
+	party   *party // nil: no gossip
 
 	mu       sync.Mutex
 	rng      *rand.Rand // for troubles and traffic
@@ -67,6 +68,7 @@
 	made     int
 	dead     []*worker.Worker // replaced ones
 	done     bool
+	silences []silent
 }
 
 // member is a worker's place in the list.
@@ -121,6 +123,13 @@
 			return nil, err
 		}
 	}
+	if s.Gossip != nil {
+		var err error
+		if r.party, err = newParty(s, r.dir); err != nil {
+			return nil, err
+		}
+		defer r.party.end()
+	}
 	for i := range s.Routers {
 		sl := &slot{n: i, file: filepath.Join(r.dir, fmt.Sprintf("workers-%d.json", i)), told: map[string]bool{}}
 		r.routers = append(r.routers, sl)
@@ -129,6 +138,11 @@
 			return nil, err
 		}
 	}
+	if r.party != nil {
+		if err := r.party.begin(r); err != nil {
+			return nil, err
+		}
+	}
 	if o.Begun != nil {
 		o.Begun(r)
 	}
@@ -146,10 +160,16 @@
 	r.tally.wait(r.longest() + 3*time.Second)
 	close(stop)
 	wg.Wait()
+	var word *GossipReport
+	if r.party != nil {
+		word = r.party.report(r)
+	}
 	for _, sl := range r.routers {
 		sl.g.Stop()
 	}
-	return r.report(), nil
+	out := r.report()
+	out.Gossip = word
+	return out, nil
 }
 
 func (r *Rig) longest() (d time.Duration) {
@@ -266,6 +286,9 @@
 	g.Reports, g.Limits.AnswerMargin = s.Fleet.Reports, 50
 	g.Safety.DrainGrace, g.Safety.ColdShare, g.Safety.ColdFor = ms(s.Rules.DrainGrace), s.Rules.ColdShare, ms(s.Rules.ColdFor)
 	g.Safety.FallMultiple, g.Safety.FallSpan = s.Rules.FallMultiple, ms(s.Rules.FallSpan)
+	if r.party != nil {
+		g.Gossip = r.party.settings(sl.n)
+	}
 	if r.opt.Alter != nil {
 		r.opt.Alter(&g)
 	}
@@ -285,11 +308,18 @@
 		r.log.Add(rules.Record{Kind: rules.Told, Router: name, Worker: id, Off: !on})
 	}
 	sl.mu.Unlock()
-	g, err := gateway.Start(r.settings(sl), gateway.Options{Log: r.opt.Log, Decider: r.opt.Decider,
-		Drain: 2 * time.Second}) // nothing is in hand by then, unless a rule is broken
+	o := gateway.Options{Log: r.opt.Log, Decider: r.opt.Decider,
+		Drain: 2 * time.Second} // nothing is in hand by then, unless a rule is broken
+	if r.party != nil {
+		o.Gossip = r.party.hooks(sl.n)
+	}
+	g, err := gateway.Start(r.settings(sl), o)
 	if err != nil {
 		return err
 	}
+	if r.party != nil {
+		r.party.joined(sl.n, g)
+	}
 	c := client.New(g.Addr(), name, r.log, http2.Config{})
 	sl.mu.Lock()
 	sl.g, sl.client = g, c
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -36,6 +36,7 @@
 	Traffic Traffic   `json:"traffic"`
 	List    List      `json:"list"`
 	Rules   Rules     `json:"rules"`
+	Gossip  *Gossip   `json:"gossip,omitempty"` // nil: the routers share nothing
 	Trouble []Trouble `json:"troubles"`
 }
 
@@ -118,6 +119,18 @@
 	LoadShare    float64 `json:"load_share"`
 }
 
+// Gossip is word between the routers, and who spoils it.
+type Gossip struct {
+	Forgers int     `json:"forgers"`        // strangers that forge packets of others,
+	Forged  float64 `json:"forged_per_s"`   // so many a second each
+	Liars   int     `json:"liars"`          // admitted members that call every worker silent
+	Mute    int     `json:"mute"`           // routers whose word stops coming
+	MuteAt  Seconds `json:"mute_at_s"`      // from then on
+	Bytes   float64 `json:"bytes_per_s"`    // each router's cap; 0: the preset's
+	Loss    float64 `json:"loss"`           // share of the datagrams that is lost
+	ExchKey Seconds `json:"key_exchange_s"` // a router's key is exchanged then; 0: none
+}
+
 // Trouble is something that goes wrong.
 type Trouble struct {
 	Kind  string  `json:"kind"`
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -61,7 +61,10 @@
 
 // fault switches a fault of some workers on and returns what switches it off.
 func (r *Rig) fault(part float64, on, off func(*worker.Faults)) func() {
-	list := r.some(part)
+	return faulty(r.some(part), on, off)
+}
+
+func faulty(list []*member, on, off func(*worker.Faults)) func() {
 	for _, m := range list {
 		m.w.Set(on)
 	}
@@ -95,7 +98,14 @@
 			r.mu.Unlock()
 		}
 	case "hang":
-		return r.fault(t.Part, func(f *worker.Faults) { f.Hang = true }, func(f *worker.Faults) { f.Hang = false })
+		list := r.some(t.Part)
+		now := r.log.Now()
+		r.mu.Lock()
+		for _, m := range list {
+			r.silences = append(r.silences, silent{m.w.ID(), now, now + t.For.D()})
+		}
+		r.mu.Unlock()
+		return faulty(list, func(f *worker.Faults) { f.Hang = true }, func(f *worker.Faults) { f.Hang = false })
 	case "slow", "neighbour":
 		return r.fault(t.Part, func(f *worker.Faults) { f.Slow = t.Size }, func(f *worker.Faults) { f.Slow = 0 })
 	case "class_fail":
@@ -237,6 +247,9 @@
 			sl.mu.Lock()
 			g, c, name := sl.g, sl.client, sl.name
 			sl.mu.Unlock()
+			if r.party != nil {
+				r.party.retire(g)
+			}
 			r.log.Add(rules.Record{Kind: rules.RouterDown, Router: name})
 			g.Kill()
 			c.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"log/slog"
-	"net"
 	"sync"
 	"time"
 
@@ -28,7 +27,7 @@
 	Decider func(brain.Settings, uint64) (router.Decider, error) // nil: the module
 	Drain   time.Duration                                        // most that Stop waits for calls in hand; 0: a minute
 	Tap     func(now time.Duration, events []brain.Event, actions []brain.Action)
-	Packets func(net.PacketConn) net.PacketConn // nil, or goes between gossip and its socket
+	Gossip  peers.Hooks
 }
 
 // Gateway is one running gateway.
--- a/internal/peers/agent.go
+++ b/internal/peers/agent.go
@@ -34,7 +34,13 @@
 	Key         Key
 	Members     Members
 	Log         *slog.Logger
-	Wrap        func(net.PacketConn) net.PacketConn // nil, or puts faults and counters between agent and socket
+	Hooks       Hooks
+}
+
+// Hooks put faults and counters between an agent and its sockets; nil ones do nothing.
+type Hooks struct {
+	Packets func(net.PacketConn) net.PacketConn
+	Stream  func(to string, bytes int) bool // told of each packet that goes over a stream; false: it is lost
 }
 
 // Key is a router's own key.
@@ -193,8 +199,8 @@
 			_ = u.SetReadBuffer(1 << 20) // the system may give less; what does not fit is lost, as in any network
 		}
 		a.conn, a.stream, a.addr = pc, s, s.Addr()
-		if a.cfg.Wrap != nil {
-			a.conn = a.cfg.Wrap(pc)
+		if a.cfg.Hooks.Packets != nil {
+			a.conn = a.cfg.Hooks.Packets(pc)
 		}
 		if a.cfg.Advertise != "" {
 			a.addr = a.cfg.Advertise
@@ -400,7 +406,9 @@
 		return
 	}
 	if s.Stream {
-		a.stream.Send(s.To, p)
+		if a.cfg.Hooks.Stream == nil || a.cfg.Hooks.Stream(s.To, len(p)+4) {
+			a.stream.Send(s.To, p)
+		}
 		return
 	}
 	to, err := resolve(s.To)
--- /dev/null
+++ b/internal/standin/peer/forger.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/gossip"
+	"github.com/topazfront/topazfront/internal/peers"
+)
+
+// Forger sends what no router may take: packets under the names of others, by a key that is not theirs or with
+// bytes changed, cut ones, old versions, ones too large. It holds no admitted key.
+type Forger struct {
+	Names  []string // of admitted members, to forge
+	KeyIDs []string
+	Worker string // that it calls silent
+
+	conn net.PacketConn
+	rng  *rand.Rand
+	keys *gossip.Keys
+	own  ed25519.PrivateKey
+	Sent int
+}
+
+// NewForger opens a forger's socket.
+func NewForger(seed uint64, names, keyIDs []string) (*Forger, error) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	own := ed25519.NewKeyFromSeed(bytes.Repeat([]byte{byte(seed), 0xf0}, 16))
+	return &Forger{Names: names, KeyIDs: keyIDs, conn: conn, rng: rand.New(rand.NewPCG(seed, 9)), own: own,
+		Worker: "w001"}, nil
+}
+
+// Addr is its own address.
+func (f *Forger) Addr() string { return f.conn.LocalAddr().String() }
+
+// Close closes its socket.
+func (f *Forger) Close() { _ = f.conn.Close() }
+
+// Packet makes one forgery.
+func (f *Forger) Packet() []byte {
+	i := f.rng.IntN(len(f.Names))
+	k := gossip.NewKeys(f.KeyIDs[i], f.own, uint64(time.Now().UnixNano()))
+	s := gossip.Statement{About: gossip.Silent, Signer: f.Names[i], Life: 1 << 61, Seq: 1, Subject: f.Worker}
+	k.Sign(&s)
+	alive := gossip.Statement{About: gossip.IsAlive, Signer: f.Names[i], Life: 1 << 61, Seq: 2, Text: f.Addr()}
+	k.Sign(&alive)
+	p, err := k.Seal(gossip.Message{Kind: gossip.Push, From: f.Names[i], Addr: f.Addr(), Life: 1 << 61,
+		Statements: []gossip.Statement{s, alive}})
+	if err != nil {
+		return nil
+	}
+	switch f.rng.IntN(6) {
+	case 0: // cut
+		p = p[:f.rng.IntN(len(p))]
+	case 1: // a byte changed
+		p[f.rng.IntN(len(p))] ^= byte(1 + f.rng.IntN(255))
+	case 2: // too large
+		p = append(p, make([]byte, 1500)...)
+	case 3: // another version
+		p[1+int(p[0])+ed25519.SignatureSize] = 9
+	}
+	return p
+}
+
+// Send sends forgeries to each address.
+func (f *Forger) Send(to []string, each int) {
+	for range each {
+		for _, a := range to {
+			addr, err := net.ResolveUDPAddr("udp", a)
+			if err != nil {
+				continue
+			}
+			if _, err := f.conn.WriteTo(f.Packet(), addr); err == nil {
+				f.Sent++
+			}
+		}
+	}
+}
+
+// Liar is an admitted member that takes part as others do, and lies of workers. It never looks.
+type Liar struct {
+	*peers.Agent
+}
+
+// NewLiar starts a liar.
+func NewLiar(c peers.Config) (*Liar, error) {
+	a, err := peers.Start(c, blind{})
+	if err != nil {
+		return nil, err
+	}
+	return &Liar{a}, nil
+}
+
+// Accuse has it call workers silent, again and again.
+func (l *Liar) Accuse(started map[string]uint64) {
+	l.SetWorkers(started)
+	for id := range started {
+		l.Doubted(brain.Doubt{Worker: id})
+	}
+}
+
+// Praise has it say that a worker is back which it called silent.
+func (l *Liar) Praise(worker string) { l.HeardOf(worker) }
+
+// blind is a router that sees nothing.
+type blind struct{}
+
+// Look implements peers.Router.
+func (blind) Look(_ string, _, _ time.Duration, done func(alive, void bool)) { done(false, true) }
+
+// Peers implements peers.Router.
+func (blind) Peers(brain.Peers) {}
