Files are followed without a watch too; exchanges of state come often at first

New members also learned of each other slowly.

Change: without a watch a file is read each second. A claim that an own look contradicts costs its signer less the older it is, as the worker may have come back since.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"crypto/ed25519"
+	"encoding/base64"
 	"errors"
 	"os"
 	"path/filepath"
@@ -9,6 +11,7 @@
 	"time"
 
 	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/peers"
 )
 
 const good = `{"listen": "127.0.0.1:9000", "workers": {"file": "w.json"},
@@ -102,9 +105,10 @@
 	}
 	write(list)
 	lists, refused, stop := make(chan *WorkerList, 10), make(chan error, 100), make(chan struct{})
-	ended := make(chan error, 1)
+	ended := make(chan struct{})
 	go func() {
-		ended <- Follow(file, stop, func(l *WorkerList) { lists <- l }, func(err error) { refused <- err })
+		Follow(file, stop, func(l *WorkerList) { lists <- l }, func(err error) { refused <- err })
+		close(ended)
 	}()
 	next := func(n int) {
 		t.Helper()
@@ -144,9 +148,42 @@
 	}
 	next(0)
 	close(stop)
-	if err := <-ended; err != nil {
-		t.Error(err)
+	<-ended
+}
+
+// TestFollowWithoutAWatch guards against lists that went unread where the system gave no watch: here the folder
+// is not there yet.
+func TestFollowWithoutAWatch(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "later")
+	got, refused, stop := make(chan string, 4), make(chan error, 4), make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		FollowFile(filepath.Join(dir, "f"), stop, func(raw []byte) error { got <- string(raw); return nil },
+			func(err error) { refused <- err })
+		close(ended)
+	}()
+	<-refused
+	if err := os.Mkdir(dir, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"one", "two"} {
+		if err := os.WriteFile(filepath.Join(dir, "f.new"), []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(filepath.Join(dir, "f.new"), filepath.Join(dir, "f")); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case s := <-got:
+			if s != want {
+				t.Errorf("read %q, want %q", s, want)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("never read")
+		}
 	}
+	close(stop)
+	<-ended
 }
 
 func FuzzParse(f *testing.F) {
@@ -164,3 +201,65 @@
 		}
 	})
 }
+
+func TestGossipSettings(t *testing.T) {
+	with := func(gossip string) string {
+		return strings.Replace(good, `"models"`, `"gossip": `+gossip+`, "models"`, 1)
+	}
+	g, err := Parse("g.json", []byte(with(`{"listen": "127.0.0.1:7000", "members": "m.json", "key": "k.pem", "preset": "wide", "bytes_per_s": 4000}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := g.Gossip.Agent(g.Name, 1)
+	if !g.Settings().TellsDoubts || c.ID != g.Name || c.Gossip.BytesPerSecond != 4000 || c.Gossip.ProbeEvery != 3*time.Second ||
+		c.Judge.Fresh != c.Gossip.Fresh || c.LookTimeout != 400*time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+	if plain, err := Parse("g.json", []byte(good)); err != nil || plain.Settings().TellsDoubts || plain.Gossip != nil {
+		t.Errorf("without gossip: %v", err)
+	}
+	for bad, path := range map[string]string{
+		`{"listen": "127.0.0.1:7000", "members": "m.json"}`:                                    "/gossip: missing property 'key'",
+		`{"listen": "localhost:7000", "members": "m", "key": "k"}`:                             "/gossip/listen",
+		`{"listen": "0.0.0.0:7000", "members": "m", "key": "k"}`:                               "/gossip/advertise",
+		`{"listen": "127.0.0.1:7000", "members": "m", "key": "k", "seeds": ["127.0.0.1"]}`:     "/gossip/seeds/0",
+		`{"listen": "127.0.0.1:7000", "members": "m", "key": "k", "bytes_per_s": 10}`:          "/gossip/bytes_per_s",
+		`{"listen": "127.0.0.1:7000", "members": "m", "key": "k", "preset": "interplanetary"}`: "/gossip/preset",
+	} {
+		if _, err := Parse("g.json", []byte(with(bad))); err == nil || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v, want it to name %s", bad, err, path)
+		}
+	}
+}
+
+func TestKeysAndMembers(t *testing.T) {
+	own := ed25519.NewKeyFromSeed(make([]byte, 32))
+	raw, err := FormatKey(peers.Key{Name: "k1", Private: own})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if k, err := ParseKey("k.pem", raw); err != nil || k.Name != "k1" || !k.Private.Equal(own) {
+		t.Errorf("%+v, %v", k, err)
+	}
+	for _, bad := range []string{"", "no key", strings.Replace(string(raw), "Key-Id: k1", "Key-Id:", 1),
+		strings.Replace(string(raw), "PRIVATE", "PUBLIC", 2), strings.Replace(string(raw), "MC4CAQ", "MC4CAA", 1)} {
+		if _, err := ParseKey("k.pem", []byte(bad)); err == nil || !strings.HasPrefix(err.Error(), "k.pem: ") {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+	pub := base64.StdEncoding.EncodeToString(own.Public().(ed25519.PublicKey))
+	list := `{"members": [{"id": "a", "keys": [{"id": "k1", "public": "` + pub + `"}, {"id": "k2", "public": "` + pub + `"}]}]}`
+	if m, err := ParseMembers("m.json", []byte(list)); err != nil || len(m["a"]) != 2 {
+		t.Errorf("%v, %v", m, err)
+	}
+	for from, c := range map[string][2]string{
+		`"k2"`:       {`"k1"`, "/members/0/keys/1/id"},
+		`"a"`:        {`""`, "/members/0/id"},
+		pub + `"}, `: {pub[:43] + `"}, `, "/members/0/keys/0/public"},
+		`"keys"`:     {`"key"`, "/members/0/key"},
+	} {
+		if _, err := ParseMembers("m.json", []byte(strings.Replace(list, from, c[0], 1))); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%s: %v, want it to name %s", c[0], err, c[1])
+		}
+	}
+}
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"time"
@@ -11,15 +10,17 @@
 
 // FollowFile calls use with a file's content now and after each change, and refused with what is wrong where it
 // can't be read or used. Content that was refused is tried again when it changes. It returns when stop is closed.
-func FollowFile(path string, stop <-chan struct{}, use func(raw []byte) error, refused func(error)) error {
-	watch, err := fsnotify.NewWatcher()
-	if err != nil {
-		return err
-	}
-	defer func() { _ = watch.Close() }()
-	// The folder is watched, as a file that is replaced by rename is another file.
-	if err := watch.Add(filepath.Dir(path)); err != nil {
-		return fmt.Errorf("%s: %w", filepath.Dir(path), err)
+func FollowFile(path string, stop <-chan struct{}, use func(raw []byte) error, refused func(error)) {
+	// Watches are few on some systems (inotify(7), max_user_instances). Without one the file is read each second
+	// all the same: a list of workers must not go unread because of that.
+	var events chan fsnotify.Event
+	var errs chan error
+	if watch, err := fsnotify.NewWatcher(); err == nil {
+		defer func() { _ = watch.Close() }()
+		// The folder is watched, as a file that is replaced by rename is another file.
+		if err := watch.Add(filepath.Dir(path)); err == nil {
+			events, errs = watch.Events, watch.Errors
+		}
 	}
 	last, lost := "", false
 	read := func() {
@@ -45,18 +46,12 @@
 	for {
 		select {
 		case <-stop:
-			return nil
-		case e, ok := <-watch.Events:
-			if !ok {
-				return nil
-			}
+			return
+		case e := <-events:
 			if filepath.Clean(e.Name) == filepath.Clean(path) && !e.Has(fsnotify.Chmod) {
 				read()
 			}
-		case err, ok := <-watch.Errors:
-			if !ok {
-				return nil
-			}
+		case err := <-errs:
 			refused(err)
 		case <-again.C:
 			read()
--- a/internal/config/workers.go
+++ b/internal/config/workers.go
@@ -98,8 +98,8 @@
 
 // Follow calls list with the file's content now and after each change, and refused with what is wrong where
 // it can't be used; the list handed over before then stands. It returns when stop is closed.
-func Follow(path string, stop <-chan struct{}, list func(*WorkerList), refused func(error)) error {
-	return FollowFile(path, stop, func(raw []byte) error {
+func Follow(path string, stop <-chan struct{}, list func(*WorkerList), refused func(error)) {
+	FollowFile(path, stop, func(raw []byte) error {
 		l, err := ParseWorkers(path, raw)
 		if err == nil {
 			list(l)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,7 @@
 	first := make(chan struct{})
 	var once sync.Once
 	g.wg.Go(func() {
-		err := config.Follow(cfg.Workers.File, g.stop, func(l *config.WorkerList) {
+		config.Follow(cfg.Workers.File, g.stop, func(l *config.WorkerList) {
 			log.Info("list of workers", "workers", len(l.Workers))
 			g.router.SetWorkers(l.Roster(g.router.At))
 			if g.peers != nil {
@@ -85,10 +85,6 @@
 			log.Warn("list of workers refused; the one before stands", "error", err)
 			once.Do(func() { close(first) })
 		})
-		if err != nil {
-			log.Error("list of workers is not followed", "error", err)
-		}
-		once.Do(func() { close(first) })
 	})
 	<-first
 	g.front, err = grpcfront.Listen(grpcfront.Config{Address: cfg.Listen, HTTP2: h2, Intake: cfg.Intake(),
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -39,7 +39,7 @@
 	follow := func(path string, first []byte, use func([]byte) error) {
 		g.wg.Go(func() {
 			begun := false
-			err := config.FollowFile(path, g.stop, func(raw []byte) error {
+			config.FollowFile(path, g.stop, func(raw []byte) error {
 				if !begun && string(raw) == string(first) {
 					begun = true
 					return nil // in use already
@@ -47,9 +47,6 @@
 				begun = true
 				return use(raw)
 			}, refused)
-			if err != nil {
-				g.log.Error("gossip: file is not followed", "error", err)
-			}
 		})
 	}
 	follow(set.Members, raw, func(raw []byte) error {
--- a/internal/gossip/core.go
+++ b/internal/gossip/core.go
@@ -137,6 +137,7 @@
 	nextPush  time.Duration
 	nextSync  time.Duration
 	raised    time.Duration
+	syncGap   time.Duration
 	synced    int // where in order the next exchange of state begins
 	health    int // 0 is good; each step slows the probes down by as much again
 	queue     queue
@@ -170,7 +171,7 @@
 	c := &Core{cfg: cfg, id: id, addr: addr, life: life, sign: sign, rng: rand.New(rand.NewPCG(seed, 14)),
 		admitted: func(string) bool { return true }, members: map[string]*member{}, queue: newQueue(cfg.MaxStatements),
 		evidence: map[subjectOf]*held{}, signers: map[string]int{}, relayed: map[string]int{},
-		bytes: bucket{left: cfg.BurstBytes}, messages: bucket{left: cfg.BurstMessages}, raised: -cfg.ProbeEvery}
+		syncGap: cfg.ProbeEvery, bytes: bucket{left: cfg.BurstBytes}, messages: bucket{left: cfg.BurstMessages}, raised: -cfg.ProbeEvery}
 	return c, nil
 }
 
@@ -800,7 +801,8 @@
 	if c.now < c.nextSync {
 		return
 	}
-	c.nextSync = c.now + time.Duration((0.75+c.rng.Float64()/2)*float64(c.cfg.SyncEvery))
+	c.nextSync = c.now + time.Duration((0.75+c.rng.Float64()/2)*float64(c.syncGap))
+	c.syncGap = min(2*c.syncGap, c.cfg.SyncEvery) // often at first, while there is much to learn
 	for _, to := range c.some(1, "") {
 		c.sync(to, false)
 	}
--- a/internal/gossip/judge.go
+++ b/internal/gossip/judge.go
@@ -41,7 +41,7 @@
 // worker fails a class or is slow: such word is kept for the operators to read.
 //
 // A signer weighs at most 1, whatever it sends, and by its record: half as much for each claim that own looks
-// contradict, and back as they bear it out (a multiplicative-weights vote; Littlestone, Warmuth, "The Weighted
+// contradict (hardly less for an old claim, as the worker may be back since), and up again as they bear it out (a multiplicative-weights vote; Littlestone, Warmuth, "The Weighted
 // Majority Algorithm", 1994), or slowly with time. Liars fewer than the quorum therefore cause nothing. More of
 // them cause looks, no more than the ration of looks, until their weight is gone: a look at a healthy worker
 // costs one question and shows that it is healthy.
@@ -271,9 +271,10 @@
 	if e.Void {
 		return out
 	}
-	for signer := range w.claims {
-		if e.Alive {
-			j.weigh(signer, j.Weight(signer)/2)
+	for signer, seen := range w.claims {
+		if e.Alive { // an old claim may have been true when it was made
+			fresh := 1 - float64(j.now-seen)/float64(j.cfg.Fresh)
+			j.weigh(signer, j.Weight(signer)*math.Exp2(-min(max(fresh, 0.15), 1)))
 		} else {
 			j.weigh(signer, j.Weight(signer)*1.5)
 		}
