--- a/internal/day/gossip.go
+++ b/internal/day/gossip.go
@@ -188,12 +188,29 @@
 			return err
 		}
 		c.Members = m
-		l, err := peer.NewLiar(c)
+		liar, err := peer.NewLiar(c)
 		if err != nil {
 			return err
 		}
-		l.Accuse(starts)
-		p.liars = append(p.liars, l)
+		liar.Accuse(starts)
+		p.liars = append(p.liars, liar)
+		p.wg.Go(func() { // in turn it calls them all silent, and all back: the dead, the drained, the fresh
+			t := time.NewTicker(1500 * time.Millisecond)
+			defer t.Stop()
+			for {
+				select {
+				case <-p.stop:
+					return
+				case <-t.C:
+				}
+				l := r.lines()
+				now := l.Starts()
+				for id := range now {
+					liar.Praise(id)
+				}
+				liar.Accuse(now)
+			}
+		})
 	}
 	if p.set.Mute > 0 {
 		r.later(p.set.MuteAt.D(), func() {
--- a/internal/gossip/gossipsim/network_test.go
+++ b/internal/gossip/gossipsim/network_test.go
@@ -201,3 +201,41 @@
 		t.Errorf("somebody has %d alive", least)
 	}
 }
+
+// TestAllPeersSilent: the one that is left goes on within its budget, and takes them back when they come.
+func TestAllPeersSilent(t *testing.T) {
+	w := New(gossip.Local, 12, 9)
+	w.StartAll(false)
+	w.Run(20 * time.Second)
+	for i := 1; i < 12; i++ {
+		w.Stop(i)
+	}
+	base := w.Sent[0].Bytes
+	w.Run(3 * time.Minute)
+	if n := w.Cores[0].Live(); n != 1 {
+		t.Errorf("%d live of one", n)
+	}
+	if rate := (w.Sent[0].Bytes - base) / 180; rate > gossip.Local.BytesPerSecond/4 {
+		t.Errorf("alone it sends %.0f bytes a second", rate)
+	}
+	for i := 1; i < 12; i++ {
+		w.Start(i, 0)
+	}
+	w.Run(40 * time.Second)
+	if least, _ := w.Alive(); least != 11 {
+		t.Errorf("afterwards somebody has %d alive", least)
+	}
+}
+
+// TestSameSeedSameDay: a trial comes to the same figures each time.
+func TestSameSeedSameDay(t *testing.T) {
+	trial := Trial{Members: 20, Loss: 0.05, Slow: 0.1, Seed: 4, Warm: 5 * time.Second, Steady: 5 * time.Second, After: 20 * time.Second}
+	a, b := trial.Run(), trial.Run()
+	a.WallSeconds, b.WallSeconds = 0, 0
+	if a != b {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+	if a.Reached < 0.9 || a.DeathFirst <= 0 || a.Bytes <= 0 || a.Bytes > gossip.Local.BytesPerSecond {
+		t.Errorf("%+v", a)
+	}
+}
--- a/internal/gossip/keys_test.go
+++ b/internal/gossip/keys_test.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"errors"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 )
@@ -183,6 +184,34 @@
 
 func ID(i int) string { return "addr" + string(rune('a'+i%26)) + string(rune('a'+i/26%26)) }
 
+// TestErrorsNameThePlace: another version is named, and so is the byte at which a message went wrong.
+func TestErrorsNameThePlace(t *testing.T) {
+	own, _ := keyOf(1)
+	m := sample(NewKeys("k", own, 1))
+	raw, err := m.Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		b    []byte
+		want string
+	}{
+		{append([]byte{9}, raw[1:]...), "version 9, this is 1"},
+		{append([]byte{version, 77}, raw[2:]...), "kind at byte 1"},
+		{raw[:len(raw)-1], "signature at byte"},
+		{nil, "no version at byte 0"},
+	} {
+		if _, err := Parse(c.b); !errors.Is(err, ErrMalformed) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%v, want it to say %q", err, c.want)
+		}
+	}
+	long := m
+	long.From = strings.Repeat("x", 300)
+	if _, err := long.Append(nil); err == nil {
+		t.Error("a name of 300 bytes was written")
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	own, pub := keyOf(1)
 	k := NewKeys("k", own, 1)
--- a/internal/peers/agent_test.go
+++ b/internal/peers/agent_test.go
@@ -217,7 +217,7 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	f.Worker = "w1"
+	f.Worker, f.Of = "w1", 5
 	dropped := func() (n uint64) {
 		for _, a := range g.agents {
 			n += a.Status().Dropped.Packets()
@@ -257,7 +257,7 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	f.Worker, f.Stolen = "w1", func(name string) ed25519.PrivateKey { return keyOf(name, "k1") }
+	f.Worker, f.Of, f.Stolen = "w1", 5, func(name string) ed25519.PrivateKey { return keyOf(name, "k1") }
 	before := g.agents[2].Status()
 	f.Send(g.addrs[2:], 60)
 	g.until("them to be read", func() bool { // a third of them are whole
--- a/internal/standin/peer/forger.go
+++ b/internal/standin/peer/forger.go
@@ -17,7 +17,8 @@
 type Forger struct {
 	Names  []string // of admitted members, to forge
 	KeyIDs []string
-	Worker string                               // that it calls silent
+	Worker string                               // that it calls silent,
+	Of     uint64                               // in that life
 	Stolen func(name string) ed25519.PrivateKey // nil, or the members' own keys: what it sends is then no forgery
 
 	conn net.PacketConn
@@ -52,7 +53,7 @@
 		own = f.Stolen(f.Names[i])
 	}
 	k := gossip.NewKeys(f.KeyIDs[i], own, uint64(time.Now().UnixNano()))
-	s := gossip.Statement{About: gossip.Silent, Signer: f.Names[i], Life: 1 << 61, Seq: 1, Subject: f.Worker}
+	s := gossip.Statement{About: gossip.Silent, Signer: f.Names[i], Life: 1 << 61, Seq: 1, Subject: f.Worker, Of: f.Of}
 	k.Sign(&s)
 	alive := gossip.Statement{About: gossip.IsAlive, Signer: f.Names[i], Life: 1 << 61, Seq: 2, Text: f.Addr()}
 	k.Sign(&alive)
