Gossip: words of members are shared, not copied, so that 5,000 fit a simulation

Cause: 25 million words of members took 10 GB and more, and the machine stood still.

Change: a member's word is kept by reference; words known from the start are not passed on.

--- a/cmd/topazfront/gossip.go
+++ b/cmd/topazfront/gossip.go
@@ -10,6 +10,7 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -158,6 +159,7 @@
 }
 
 func (c *gossipSimulateCmd) Run(ctx context.Context) error {
+	defer debug.SetGCPercent(debug.SetGCPercent(40)) // thousands of members each know thousands: memory bounds the size
 	var all []gossipsim.Result
 	fmt.Println("                     bytes/s msgs/s   peak   word heard by   reached   death seen by  wrongly  suspicions    wall")
 	fmt.Println("routers  loss  slow                             50%     99%            first     99%     dead   a minute       s")
--- a/internal/gossip/core.go
+++ b/internal/gossip/core.go
@@ -57,7 +57,7 @@
 }
 
 type member struct {
-	word   Statement // its own last
+	word   *Statement // its own last; never changed, as several cores of a simulation hold it
 	state  State
 	direct bool
 	until  time.Duration // of a suspicion: when it becomes death; of death: when it is forgotten
@@ -198,7 +198,8 @@
 // Admit is an event: who may take part. Others are forgotten.
 type Admit struct{ Admitted func(id string) bool }
 
-// Known is an event: words of members from a trusted store, taken without a message.
+// Known is an event: words of members from a trusted store, taken without a message and not passed on. They are
+// kept and must not be changed.
 type Known struct{ Words []Statement }
 
 // Step takes what has come up to now and returns what to do: Sends, Changes, Heards, Raises, Twins.
@@ -229,8 +230,8 @@
 		case Admit:
 			c.admit(e.Admitted)
 		case Known:
-			for _, s := range e.Words {
-				c.alive(&s)
+			for i := range e.Words {
+				c.alive(&e.Words[i], false)
 			}
 		}
 	}
@@ -259,9 +260,8 @@
 	return max(at, c.now+time.Millisecond)
 }
 
-// Settle drops what waits to be passed on, for a group whose members all know each other.
+// Settle takes all members known for heard themselves, in a group that is simulated from when it has settled.
 func (c *Core) Settle() {
-	c.queue = newQueue(c.cfg.MaxStatements)
 	for _, m := range c.members {
 		m.direct = true
 	}
@@ -375,7 +375,7 @@
 	case s.About == IsAlive && s.Signer == c.id:
 		return s.after(&c.word)
 	case s.About == IsAlive:
-		return m == nil && len(c.members) < c.cfg.MaxMembers || m != nil && s.after(&m.word)
+		return m == nil && len(c.members) < c.cfg.MaxMembers || m != nil && s.after(m.word)
 	case s.Signer == c.id:
 		return false
 	case s.About == Doubts && s.Subject == c.id:
@@ -502,7 +502,8 @@
 		}
 		c.raise(s.Life)
 	case s.About == IsAlive:
-		c.alive(s)
+		word := *s
+		c.alive(&word, true)
 	case s.About == Doubts && s.Subject == c.id:
 		// Its being doubted is a sign that this member is slow itself (Lifeguard, section IV-A).
 		c.health = min(c.health+1, c.cfg.HealthMax)
@@ -547,7 +548,7 @@
 // Members -----------------------------------------------------------------------------------------------
 
 // alive takes a member's own word. Whatever was doubted of an earlier one is void.
-func (c *Core) alive(s *Statement) {
+func (c *Core) alive(s *Statement, spread bool) {
 	if s.Signer == c.id {
 		return
 	}
@@ -556,23 +557,25 @@
 		if len(c.members) >= c.cfg.MaxMembers {
 			return
 		}
-		m = &member{state: Dead, told: -c.cfg.ProbeEvery}
+		m = &member{word: &Statement{}, state: Dead, told: -c.cfg.ProbeEvery}
 		c.members[s.Signer] = m
 		i := c.rng.IntN(len(c.order) + 1) // its first probe comes at a random turn
 		c.order = slices.Insert(c.order, i, s.Signer)
 		if len(c.order) == 1 {
 			c.nextSync = c.now // the first one: ask it for all it knows
 		}
-	} else if !s.after(&m.word) {
+	} else if !s.after(m.word) {
 		return
 	}
 	if s.Life > m.word.Life {
 		m.direct = false
 	}
-	m.word = *s
+	m.word = s
 	m.clock.see(s.Life, c.now, s.At)
 	c.become(s.Signer, m, Alive)
-	c.queue.put(*s)
+	if spread {
+		c.queue.put(*s)
+	}
 }
 
 // doubt is this member's word that another gives no answer.
@@ -856,7 +859,7 @@
 	}
 	for n := range c.order {
 		w := c.members[c.order[(c.synced+n)%len(c.order)]]
-		if w.state == Alive && !add(&w.word) {
+		if w.state == Alive && !add(w.word) {
 			c.synced = (c.synced + n) % len(c.order)
 			break
 		}
