--- a/cmd/topazfront/gossip.go
+++ b/cmd/topazfront/gossip.go
@@ -175,9 +175,17 @@
 				fmt.Printf("%7d  %4.2f  %4.2f  %7.0f  %5.1f %6.0f %7.3f %7.3f  %7.3f  %6.1f  %6.1f  %7d  %10.1f  %6.1f\n", r.Members,
 					r.Loss, r.Slow, r.Bytes, r.Messages, r.PeakBytes, r.SpreadHalf, r.SpreadMost, r.Reached, r.DeathFirst,
 					r.DeathMost, r.FalseDeaths, r.Suspicions, r.WallSeconds)
+				if err := c.save(all); err != nil {
+					return err
+				}
 			}
 		}
 	}
+	return nil
+}
+
+// save writes figures and plots after each trial, as the large ones take long.
+func (c *gossipSimulateCmd) save(all []gossipsim.Result) error {
 	if c.Out == "" {
 		return nil
 	}
