Gossip: the flood's test holds on a loaded machine; comments within the columns

Change: the bound follows the time that the flood took, which is made of few packets sent over and over until the gate leaves them unread.

--- a/brain/api.go
+++ b/brain/api.go
@@ -218,9 +218,9 @@
 	Members []Member
 }
 
-// Peers brings what other routers' word led to. Routers is the highest count of routers seen live so far, 0 for
-// untold: it can only lower this router's shares. Silent names workers that gave no sign of life to a look
-// that this router itself took.
+// Peers brings what other routers' word led to. Routers is the highest count of routers seen live so far,
+// 0 for untold: it can only lower this router's shares. Silent names workers that gave no sign of life to
+// a look that this router itself took.
 type Peers struct {
 	Routers int
 	Silent  []string
@@ -280,9 +280,9 @@
 // Wake asks for a Woken after a while.
 type Wake struct{ After time.Duration }
 
-// Doubt tells what this router has come to hold against a worker, by its own evidence: that it is silent, or
-// that it fails a class, or that it is slow. It comes where Settings.TellsDoubts asks for it; nothing is to be
-// done about it.
+// Doubt tells what this router has come to hold against a worker, by its own evidence: that it is silent,
+// or that it fails a class, or that it is slow. It comes where Settings.TellsDoubts asks for it; nothing is
+// to be done about it.
 type Doubt struct {
 	Worker string
 	Class  string // that it fails
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -927,8 +927,8 @@
 }
 
 // peers takes what other routers' word led to. It lifts no doubt and raises no share: the routers that share
-// the fleet are those of the settings, or more where more were seen, and stay so when they vanish, as they may
-// only be cut off. A silent worker is doubted, unless this router has heard it since.
+// the fleet are those of the settings, or more where more were seen, and stay so when they vanish, as they
+// may only be cut off. A silent worker is doubted, unless this router has heard it since.
 func (d *Dispatcher) peers(e Peers) {
 	if e.Routers > d.set.Routers {
 		less := float64(d.set.Routers) / float64(e.Routers)
--- a/internal/standin/peer/forger.go
+++ b/internal/standin/peer/forger.go
@@ -90,6 +90,25 @@
 	}
 }
 
+// Flood sends a few forgeries over and over, as fast as the socket takes them.
+func (f *Forger) Flood(to []string, each int) {
+	var made [32][]byte
+	for i := range made {
+		made[i] = f.Packet()
+	}
+	for _, a := range to {
+		addr, err := net.ResolveUDPAddr("udp", a)
+		if err != nil {
+			continue
+		}
+		for i := range each {
+			if _, err := f.conn.WriteTo(made[i%len(made)], addr); err == nil {
+				f.Sent++
+			}
+		}
+	}
+}
+
 // Liar is an admitted member that takes part as others do, and lies of workers. It never looks.
 type Liar struct {
 	*peers.Agent
