--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,7 +101,9 @@
 			_ = c.Close()
 			return err
 		}
-		if out, owed := answer(line, methods, log); owed {
+		out, owed := answer(line, methods, log) // which keeps nothing of the line
+		_ = c.Reader().Release()                // or a connection's requests would all be held until it ends
+		if owed {
 			write(c, out)
 		}
 		return nil
@@ -110,8 +112,7 @@
 		_ = ln.Close()
 		return nil, err
 	}
-	go func() { _ = s.loop.Serve(ln) }()
-	<-ln.Watched()
+	ln.Serve(s.loop)
 	return s, nil
 }
 
--- a/internal/day/gossip.go
+++ b/internal/day/gossip.go
@@ -140,9 +140,7 @@
 	d := g.Peers().Status().Dropped
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.gone.Limited, p.gone.Malformed = p.gone.Limited+d.Limited, p.gone.Malformed+d.Malformed
-	p.gone.UnknownKey, p.gone.Signature = p.gone.UnknownKey+d.UnknownKey, p.gone.Signature+d.Signature
-	p.gone.Replay, p.gone.Queue = p.gone.Replay+d.Replay, p.gone.Queue+d.Queue
+	p.gone = p.gone.Add(d)
 }
 
 // begin starts those who spoil it, once all routers are up.
@@ -284,10 +282,7 @@
 	sum := func() (d peers.Dropped) {
 		d = p.gone
 		for _, sl := range r.routers {
-			s := sl.g.Peers().Status().Dropped
-			d.Limited, d.Malformed, d.UnknownKey = d.Limited+s.Limited, d.Malformed+s.Malformed, d.UnknownKey+s.UnknownKey
-			d.Signature, d.Replay, d.Queue = d.Signature+s.Signature, d.Replay+s.Replay, d.Queue+s.Queue
-			d.Statements += s.Statements
+			d = d.Add(sl.g.Peers().Status().Dropped)
 		}
 		return d
 	}
--- a/internal/gossip/core.go
+++ b/internal/gossip/core.go
@@ -39,6 +39,10 @@
 	Age       time.Duration
 }
 
+// Live is an action: more members were live at once than ever before, so many. It never tells of fewer: members
+// that vanished may only be cut off, and still take their shares.
+type Live struct{ Count int }
+
 // Raise is an action: an earlier life of this member counted up to here; its packets are to be counted from
 // above it.
 type Raise struct{ To uint64 }
@@ -157,6 +161,8 @@
 	out       []any
 	seeds     []string // where members were looked for; asked now and then, so that a partition heals
 	stats     Stats
+	most      int  // members live at once
+	recount   bool // they may have become more
 }
 
 // Stats counts what a core has done.
@@ -167,6 +173,7 @@
 	Suspicions uint64 `json:"suspicions"`
 	Deaths     uint64 `json:"deaths"`
 	Refuted    uint64 `json:"refuted"` // doubts of this member that it answered
+	MostLive   int    `json:"most_live"`
 }
 
 // New returns a core that knows only itself. life must be higher than in any earlier life: a start time will
@@ -178,7 +185,7 @@
 	c := &Core{cfg: cfg, id: id, addr: addr, life: life, sign: sign, rng: rand.New(rand.NewPCG(seed, 14)),
 		admitted: func(string) bool { return true }, members: map[string]*member{}, queue: newQueue(cfg.MaxStatements),
 		evidence: map[subjectOf]*held{}, signers: map[string]int{}, relayed: map[string]int{},
-		syncGap: cfg.ProbeEvery, bytes: bucket{left: cfg.BurstBytes}, messages: bucket{left: cfg.BurstMessages}, raised: -cfg.ProbeEvery}
+		syncGap: cfg.ProbeEvery, most: 1, bytes: bucket{left: cfg.BurstBytes}, messages: bucket{left: cfg.BurstMessages}, raised: -cfg.ProbeEvery}
 	return c, nil
 }
 
@@ -242,6 +249,13 @@
 	c.probeOn()
 	c.pushOn()
 	c.syncOn()
+	if c.recount {
+		c.recount = false
+		if n := c.Live(); n > c.most {
+			c.most = n
+			c.out = append(c.out, Live{n})
+		}
+	}
 	return c.out
 }
 
@@ -297,7 +311,10 @@
 func (c *Core) Health() int { return c.health }
 
 // Stats tells what the core has done.
-func (c *Core) Stats() Stats { return c.stats }
+func (c *Core) Stats() Stats {
+	c.stats.MostLive = c.most
+	return c.stats
+}
 
 // Evidence lists the statements on workers that are held.
 func (c *Core) Evidence() []Statement {
@@ -413,6 +430,7 @@
 			return
 		}
 		w.clock.see(m.Life, c.now, m.Now)
+		c.recount = c.recount || !w.direct
 		w.direct = true
 	}
 	if m.Seen > c.life {
@@ -620,6 +638,7 @@
 		m.until = c.now + c.cfg.ForgetAfter
 	}
 	if s != was {
+		c.recount = c.recount || s == Alive
 		c.out = append(c.out, Change{ID: id, State: s})
 		i, in := slices.BinarySearch(c.troubled, id)
 		if s == Alive && in {
--- a/internal/gossip/core_test.go
+++ b/internal/gossip/core_test.go
@@ -151,9 +151,19 @@
 	if c.Live() != 1 {
 		t.Errorf("%d live of whom nothing came", c.Live())
 	}
-	c.Step(time.Second, []any{from("b")})
-	if c.Live() != 2 {
-		t.Errorf("%d live, want b and itself", c.Live())
+	if out := c.Step(time.Second, []any{from("b")}); c.Live() != 2 || count[Live](out) != 1 {
+		t.Errorf("%d live, want b and itself; told %v", c.Live(), out)
+	}
+	for now := 2 * time.Second; now < 3*time.Minute; now += 100 * time.Millisecond { // b vanishes, and comes back
+		if out := c.Step(now, nil); count[Live](out) > 0 {
+			t.Fatalf("told of fewer: %v", out)
+		}
+	}
+	if c.Live() != 1 {
+		t.Errorf("%d live after b vanished", c.Live())
+	}
+	if out := c.Step(4*time.Minute, []any{from("b", aliveOf("b", 10, 2))}); count[Live](out) > 0 || c.Stats().MostLive != 2 {
+		t.Errorf("told again: %v", out)
 	}
 }
 
--- a/internal/gossip/keys.go
+++ b/internal/gossip/keys.go
@@ -39,11 +39,16 @@
 	return true
 }
 
+// staleBy is how far below the highest a count is stale: lives count from their start in nanoseconds, and no packet
+// is a quarter of a second's worth of counts late.
+const staleBy = 1 << 28
+
 // Errors of opening a packet.
 var (
 	ErrUnknownKey = errors.New("gossip: signed by a key that is not admitted")
 	ErrSignature  = errors.New("gossip: signature does not fit")
 	ErrReplay     = errors.New("gossip: packet has come before, or is older than those that came")
+	ErrStale      = fmt.Errorf("%w: far older", ErrReplay) // as of a life that began with its clock set back
 )
 
 // NewKeys returns the keys of one member that signs with its key of that name. Its packets are counted from
@@ -114,6 +119,9 @@
 		k.seen[m.From] = w
 	}
 	if !w.fresh(m.Count) {
+		if w.top-m.Count > staleBy {
+			return m, w.top, ErrStale
+		}
 		return m, w.top, ErrReplay
 	}
 	return m, w.top, nil
--- a/internal/gossip/keys_test.go
+++ b/internal/gossip/keys_test.go
@@ -147,7 +147,7 @@
 			t.Fatal(err)
 		}
 		back.Raise(1<<41 + 1)
-		if _, _, err := b.Open(p); (err == nil) != (raise > 0) {
+		if _, _, err := b.Open(p); (err == nil) != (raise > 0) || errors.Is(err, ErrStale) != (raise == 0) {
 			t.Errorf("counted from above %d: %v", raise, err)
 		}
 	}
--- a/internal/peers/agent.go
+++ b/internal/peers/agent.go
@@ -77,6 +77,12 @@
 	return d.Limited + d.Malformed + d.UnknownKey + d.Signature + d.Replay + d.Queue
 }
 
+// Add sums two counts.
+func (d Dropped) Add(o Dropped) Dropped {
+	return Dropped{d.Limited + o.Limited, d.Malformed + o.Malformed, d.UnknownKey + o.UnknownKey, d.Signature + o.Signature,
+		d.Replay + o.Replay, d.Queue + o.Queue, d.Statements + o.Statements}
+}
+
 // Status is how an agent stands.
 type Status struct {
 	ID       string            `json:"id"`
@@ -139,8 +145,6 @@
 	toWit    []any
 	dropped  Dropped
 	received uint64
-	mostLive int
-	countAt  time.Duration
 	twinTold time.Duration
 }
 
@@ -321,7 +325,7 @@
 }
 
 func (a *Agent) due() time.Duration {
-	at := min(a.core.Due(), a.countAt)
+	at := a.core.Due()
 	if w, ok := a.witness.Due(); ok {
 		at = min(at, w)
 	}
@@ -342,9 +346,6 @@
 			a.actJudge(o)
 		}
 	}
-	if now := a.now(); now >= a.countAt {
-		a.count(now)
-	}
 }
 
 func drain(list *[]any) []any {
@@ -353,26 +354,17 @@
 	return out
 }
 
-// count tells the router of the most members ever seen live at once. It never falls: members that vanished may
-// only be cut off, and still take their shares.
-func (a *Agent) count(now time.Duration) {
-	a.countAt = now + time.Second
-	if n := a.core.Live(); n > a.mostLive {
-		a.mostLive = n
-		a.router.Peers(brain.Peers{Routers: n})
-	}
-}
-
 func (a *Agent) act(o any) {
 	switch o := o.(type) {
 	case gossip.Send:
 		a.send(o)
 	case gossip.Change:
 		a.log.Info("peer", "peer", o.ID, "state", o.State)
-		a.countAt = 0
 		if o.State == gossip.Dead && a.cfg.Dead != nil {
 			a.cfg.Dead(o.ID)
 		}
+	case gossip.Live:
+		a.router.Peers(brain.Peers{Routers: o.Count})
 	case gossip.Heard:
 		s := &o.Statement
 		a.log.Debug("word of a worker", "worker", s.Subject, "is", s.About, "class", s.Text, "by", s.Signer, "age", o.Age)
@@ -458,7 +450,7 @@
 		a.dropped.Signature++
 	case errors.Is(err, gossip.ErrReplay):
 		a.dropped.Replay++
-		if seen-m.Count > 1<<28 { // far below: a life that began with its clock set back
+		if errors.Is(err, gossip.ErrStale) {
 			a.toCore = append(a.toCore, gossip.Stale{Message: m, Seen: seen})
 		}
 	}
@@ -564,7 +556,7 @@
 func (a *Agent) Status() Status {
 	return ask(a, func() Status {
 		s := Status{ID: a.cfg.ID, Addr: a.addr, Key: a.keys.Name(), Members: len(a.core.Members()), Live: a.core.Live(),
-			MostLive: a.mostLive, Health: a.core.Health(), Received: a.received, Core: a.core.Stats(),
+			MostLive: a.core.Stats().MostLive, Health: a.core.Health(), Received: a.received, Core: a.core.Stats(),
 			Judge: a.judge.Stats(), Dropped: a.dropped}
 		a.mu.Lock()
 		s.Dropped.Queue = a.full
--- a/internal/peers/stream.go
+++ b/internal/peers/stream.go
@@ -87,8 +87,7 @@
 		_ = ln.Close()
 		return nil, err
 	}
-	go func() { _ = s.loop.Serve(ln) }()
-	<-ln.Watched()
+	ln.Serve(s.loop)
 	return s, nil
 }
 
--- a/internal/transport/http2/server.go
+++ b/internal/transport/http2/server.go
@@ -71,8 +71,7 @@
 		_ = ln.Close()
 		return nil, err
 	}
-	go func() { _ = s.loop.Serve(ln) }()
-	<-ln.Watched() // from here on Close ends the loop's watch before the descriptor is gone
+	ln.Serve(s.loop)
 	return s, nil
 }
 
--- a/internal/transport/listen/listen.go
+++ b/internal/transport/listen/listen.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"syscall"
+
+	"github.com/cloudwego/netpoll"
 )
 
 // Listener is a listening socket for netpoll's event loop. netpoll's own closes its descriptor twice, within
@@ -45,9 +47,12 @@
 	return l, nil
 }
 
-// Watched is closed when the event loop has taken the descriptor: from then on its Shutdown ends the watch before
-// Close lets the descriptor go.
-func (l *Listener) Watched() <-chan struct{} { return l.started }
+// Serve runs an event loop on the listener until the loop's Shutdown. It returns when the loop has taken the
+// descriptor: from then on Shutdown ends the watch before Close lets the descriptor go.
+func (l *Listener) Serve(loop netpoll.EventLoop) {
+	go func() { _ = loop.Serve(l) }()
+	<-l.started
+}
 
 // Fd is the descriptor that the event loop watches.
 func (l *Listener) Fd() int {
