--- a/internal/peers/agent_test.go
+++ b/internal/peers/agent_test.go
@@ -90,8 +90,11 @@
 		Key: peers.Key{Name: "k1", Private: keyOf(g.ids[i], "k1")}}
 	c.Seeds = g.addrs[:min(2, len(g.addrs))]
 	m := g.meters[i]
-	c.Hooks = peers.Hooks{Packets: func(pc net.PacketConn) net.PacketConn { return g.net.Wrap(pc, m) },
-		Stream: func(_ string, n int) bool { m.Add(n); return true }}
+	own := ""
+	c.Hooks = peers.Hooks{Packets: func(pc net.PacketConn) net.PacketConn {
+		own = pc.LocalAddr().String()
+		return g.net.Wrap(pc, m)
+	}, Stream: func(to string, n int) bool { m.Add(n); return g.net.Open(own, to) }} // a partition cuts streams too
 	return c
 }
 
--- a/internal/standin/peer/net.go
+++ b/internal/standin/peer/net.go
@@ -36,6 +36,13 @@
 	n.f = f
 }
 
+// Open tells whether the way from one socket to another is open, for streams.
+func (n *Net) Open(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.f.Cut == nil || !n.f.Cut(from, to)
+}
+
 // draw decides what becomes of one datagram: the delays of its copies.
 func (n *Net) draw(from, to string) (delays []time.Duration) {
 	n.mu.Lock()
