--- a/cmd/topazfront/main.go
+++ b/cmd/topazfront/main.go
@@ -28,6 +28,7 @@
 type program struct {
 	Demo    demoCmd    `cmd:"" help:"Play a short bad day on loopback: workers, two routers, streaming clients; then the table and the rules."`
 	Serve   serveCmd   `cmd:"" help:"Run a gateway until SIGTERM or SIGINT; calls in hand get their answers first."`
+	Node    nodeCmd    `cmd:"" help:"Run one router on the platform, by the configuration that GW_CONFIG names, until SIGTERM."`
 	Standin standinCmd `cmd:"" help:"Run stand-in workers and write their list, for trying a gateway."`
 	Day     dayCmd     `cmd:"" help:"Scripted days through real sockets."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file, or a list of workers, and name each wrong value by its path."`
--- a/internal/front/grpcfront/front.go
+++ b/internal/front/grpcfront/front.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/topazfront/topazfront/brain"
 	"github.com/topazfront/topazfront/internal/front"
 	"github.com/topazfront/topazfront/internal/oip"
 	"github.com/topazfront/topazfront/internal/oip/inference"
@@ -183,7 +184,7 @@
 		deny(grpc.Unimplemented, "no call "+x.path)
 	}
 	if bad != nil {
-		x.Finish(*bad, nil)
+		x.reply(*bad, nil)
 		return
 	}
 	if end {
@@ -214,11 +215,11 @@
 		switch {
 		case err != nil:
 			x.mu.Unlock()
-			x.Finish(grpc.Status{Code: messageCode(err), Message: err.Error()}, nil)
+			x.reply(grpc.Status{Code: messageCode(err), Message: err.Error()}, nil)
 			return
 		case m != nil && x.message != nil:
 			x.mu.Unlock()
-			x.Finish(grpc.Status{Code: grpc.Unimplemented, Message: "several request messages in a unary call"}, nil)
+			x.reply(grpc.Status{Code: grpc.Unimplemented, Message: "several request messages in a unary call"}, nil)
 			return
 		case m != nil:
 			x.message = append([]byte(nil), m...)
@@ -231,7 +232,7 @@
 	switch {
 	case !end:
 	case !whole:
-		x.Finish(grpc.Status{Code: grpc.Internal, Message: "the request ends without a whole message"}, nil)
+		x.reply(grpc.Status{Code: grpc.Internal, Message: "the request ends without a whole message"}, nil)
 	default:
 		x.request(message)
 	}
@@ -276,17 +277,17 @@
 	x.s.Consume(consumed)
 	switch {
 	case err != nil:
-		x.Finish(grpc.Status{Code: messageCode(err), Message: err.Error()}, nil)
+		x.reply(grpc.Status{Code: messageCode(err), Message: err.Error()}, nil)
 	case message != nil && x.f.isDraining():
-		x.Finish(grpc.Status{Code: grpc.Unavailable, Message: "the gateway is shutting down"}, nil)
+		x.reply(grpc.Status{Code: grpc.Unavailable, Message: "the gateway is shutting down"}, nil)
 	case message != nil:
 		x.request(message)
 	case done && cut:
-		x.Finish(grpc.Status{Code: grpc.Internal, Message: "the stream ends within a message"}, nil)
+		x.reply(grpc.Status{Code: grpc.Internal, Message: "the stream ends within a message"}, nil)
 	case done:
 		x.end(grpc.Status{}, nil)
 	case x.f.isDraining():
-		x.Finish(grpc.Status{Code: grpc.Unavailable, Message: "the gateway is shutting down"}, nil)
+		x.reply(grpc.Status{Code: grpc.Unavailable, Message: "the gateway is shutting down"}, nil)
 	}
 }
 
@@ -294,7 +295,7 @@
 func (x *exchange) request(message []byte) {
 	body, err := grpc.Body(message, x.encoding, x.f.cfg.Intake.MaxBody)
 	if err != nil {
-		x.Finish(grpc.Status{Code: grpc.InvalidArgument, Message: err.Error()}, nil)
+		x.reply(grpc.Status{Code: grpc.InvalidArgument, Message: err.Error()}, nil)
 		return
 	}
 	if x.path != oip.Infer && x.path != oip.StreamInfer {
@@ -303,7 +304,7 @@
 	}
 	routed, err := oip.Scan(body)
 	if err != nil {
-		x.Finish(grpc.Status{Code: grpc.InvalidArgument, Message: err.Error()}, nil)
+		x.reply(grpc.Status{Code: grpc.InvalidArgument, Message: err.Error()}, nil)
 		return
 	}
 	left := time.Duration(0)
@@ -316,14 +317,14 @@
 		if e, ok := err.(*front.Error); ok && e.Missing {
 			st.Code = grpc.NotFound
 		}
-		x.Finish(st, nil)
+		x.reply(st, nil)
 		return
 	}
-	c.Message, c.Encoding, c.Accept, c.Metadata = message, x.encoding, x.accept, x.metadata
+	c.Request = &oip.Request{Message: message, Encoding: x.encoding, Accept: x.accept, Metadata: x.metadata}
 	c.Streamed, c.Client = x.streamed(), x
 	drop, ok := x.f.router.Submit(c)
 	if !ok {
-		x.Finish(grpc.Status{Code: grpc.Unavailable, Message: "the gateway has stopped"}, nil)
+		x.reply(grpc.Status{Code: grpc.Unavailable, Message: "the gateway has stopped"}, nil)
 		return
 	}
 	x.mu.Lock()
@@ -350,7 +351,7 @@
 	default:
 		var m inference.ModelReadyRequest // ModelMetadataRequest has the same two fields
 		if err := proto.Unmarshal(body, &m); err != nil {
-			x.Finish(grpc.Status{Code: grpc.InvalidArgument, Message: err.Error()}, nil)
+			x.reply(grpc.Status{Code: grpc.InvalidArgument, Message: err.Error()}, nil)
 			return
 		}
 		model, ok := in.Model(m.Name)
@@ -359,23 +360,24 @@
 			break
 		}
 		if !ok {
-			x.Finish(grpc.Status{Code: grpc.NotFound, Message: "model " + strconv.Quote(m.Name) + " is not served here"}, nil)
+			x.reply(grpc.Status{Code: grpc.NotFound, Message: "model " + strconv.Quote(m.Name) + " is not served here"}, nil)
 			return
 		}
 		out = &inference.ModelMetadataResponse{Name: m.Name, Versions: model.Versions, Platform: "topazfront"}
 	}
 	raw, err := proto.Marshal(out)
 	if err != nil {
-		x.Finish(grpc.Status{Code: grpc.Internal, Message: err.Error()}, nil)
+		x.reply(grpc.Status{Code: grpc.Internal, Message: err.Error()}, nil)
 		return
 	}
 	x.Start(nil)
 	x.Message(append(grpc.AppendPrefix(nil, len(raw), false), raw...), nil)
-	x.Finish(grpc.Status{}, nil)
+	x.reply(grpc.Status{}, nil)
 }
 
 // Start implements router.Client.
-func (x *exchange) Start(metadata []hpack.Field) {
+func (x *exchange) Start(head any) {
+	metadata, _ := head.([]hpack.Field)
 	x.mu.Lock()
 	if x.begun || x.over {
 		x.mu.Unlock()
@@ -409,8 +411,34 @@
 	}
 }
 
-// Finish implements router.Client. A served call of a stream makes room for the stream's next request.
-func (x *exchange) Finish(st grpc.Status, trailers []hpack.Field) {
+// Finish implements router.Client.
+func (x *exchange) Finish(f router.Final) {
+	tail := oip.Tail{}
+	if f.Ended != nil {
+		tail, _ = f.Ended.Tail.(oip.Tail)
+	}
+	const pushback = "grpc-retry-pushback-ms" // gRFC A6
+	switch f.Kind {
+	case router.Answered:
+		x.reply(tail.Status, tail.Trailers)
+	case router.Refused:
+		x.reply(grpc.Status{Code: grpc.Unavailable, Message: "refused; trying again does no harm"},
+			[]hpack.Field{{Name: pushback, Value: strconv.FormatInt(max(f.After, 0).Milliseconds(), 10)}})
+	default: // the client is told not to repeat it by itself; what a worker last said is passed on if it says more
+		st := grpc.Status{Code: grpc.Unknown, Message: "no answer; the call may have run"}
+		switch {
+		case f.Late:
+			st = grpc.Status{Code: grpc.DeadlineExceeded, Message: "deadline exceeded; the call may have run"}
+		case f.Ended != nil && f.Ended.Result == brain.Errored && tail.Status.Code != grpc.Unavailable &&
+			tail.Status.Code != grpc.OK:
+			st = tail.Status
+		}
+		x.reply(st, []hpack.Field{{Name: pushback, Value: "-1"}})
+	}
+}
+
+// reply ends a call. A served one of a stream makes room for the stream's next request.
+func (x *exchange) reply(st grpc.Status, trailers []hpack.Field) {
 	if st.Code != grpc.OK || !x.streamed() {
 		x.end(st, trailers)
 		return
--- a/internal/front/grpcfront/front_test.go
+++ b/internal/front/grpcfront/front_test.go
@@ -11,6 +11,7 @@
 	"github.com/topazfront/topazfront/internal/front"
 	"github.com/topazfront/topazfront/internal/oip"
 	"github.com/topazfront/topazfront/internal/oip/inference"
+	"github.com/topazfront/topazfront/internal/roster"
 	"github.com/topazfront/topazfront/internal/router"
 	"github.com/topazfront/topazfront/internal/transport/grpc"
 	"github.com/topazfront/topazfront/internal/transport/hpack"
@@ -34,9 +35,9 @@
 func (noUpstream) Send(router.Token, *router.Call, string, int, time.Duration) router.Attempt {
 	return nil
 }
-func (noUpstream) Load(string, string, string, int, time.Duration, func(router.Order)) {}
-func (noUpstream) Ask(string, time.Duration, func(router.Probe))                       {}
-func (noUpstream) Workers(map[string]string)                                           {}
+func (noUpstream) Load(string, string, int, time.Duration, func(router.Order)) {}
+func (noUpstream) Ask(string, time.Duration, func(router.Probe))               {}
+func (noUpstream) Workers([]roster.Worker)                                     {}
 
 func listen(t *testing.T) *Front {
 	t.Helper()
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -56,7 +56,7 @@
 	if !ok {
 		return nil, &Error{Field: "model_name", Reason: fmt.Sprintf("%q is not served here", r.Model), Missing: true}
 	}
-	c := &router.Call{Routed: r, Class: m.Class, Tenant: r.Tenant, MemoryMB: m.MemoryMB, Lanes: m.Lanes,
+	c := &router.Call{Function: r.Function(), Class: m.Class, Tenant: r.Tenant, MemoryMB: m.MemoryMB, Lanes: m.Lanes,
 		LoadTime: m.LoadTime, Work: m.Work}
 	if r.Class != "" {
 		if _, ok := in.Deadlines[r.Class]; !ok {
--- a/internal/oip/report.go
+++ b/internal/oip/report.go
@@ -87,3 +87,17 @@
 	}
 	return hpack.Field{Name: ReportField, Value: grpc.EncodeBin(raw)}
 }
+
+// Request is an inference call as a front took it: what passes on to a worker unchanged.
+type Request struct {
+	Message  []byte        // with its gRPC prefix, as it came
+	Encoding string        // its grpc-encoding
+	Accept   string        // encodings that the client takes
+	Metadata []hpack.Field // the client's own
+}
+
+// Tail is the end of a response: the status that a client is told, and the worker's own trailers.
+type Tail struct {
+	Status   grpc.Status
+	Trailers []hpack.Field
+}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -4,17 +4,13 @@
 	"time"
 
 	"github.com/topazfront/topazfront/brain"
-	"github.com/topazfront/topazfront/internal/oip"
-	"github.com/topazfront/topazfront/internal/transport/grpc"
-	"github.com/topazfront/topazfront/internal/transport/hpack"
 	"github.com/topazfront/topazfront/internal/wheel"
 )
 
-// Call is one inference call as a front took it. The router keeps it until the call has ended; nobody
-// changes it meanwhile.
+// Call is one call as a front took it. The router keeps it until the call has ended; nobody changes it meanwhile.
 type Call struct {
-	Routed   oip.Routed
-	Class    string // of the settings, or what the request says
+	Function string // the key by which the module knows what is called
+	Class    string
 	Tenant   string
 	MemoryMB float64
 	Lanes    int
@@ -22,34 +18,59 @@
 	Work     time.Duration // 0: untold
 	Left     time.Duration // until the client gives up
 	Streamed bool
-	Message  []byte        // the request message with its gRPC prefix, as it came
-	Encoding string        // its grpc-encoding
-	Accept   string        // encodings that the client takes
-	Metadata []hpack.Field // the client's own, passed along
+	Request  any // what the front took, for the upstream of the same protocol
 	Client   Client
 }
 
 // Client is the front's end of a call. Its methods come from the router's loop, but for Message, which
 // comes from the one goroutine that reads the answering attempt; none blocks. Finish comes once, last.
 type Client interface {
-	// Start begins the response with the worker's metadata.
-	Start(metadata []hpack.Field)
-	// Message passes bytes of the worker's framed messages on. It returns how many are on their way; drain
-	// is told of the rest as they leave. The bytes are the caller's again when it returns.
+	// Start begins the response with the worker's head.
+	Start(head any)
+	// Message passes bytes of the worker's answer on. It returns how many are on their way; drain is told of
+	// the rest as they leave. The bytes are the caller's again when it returns.
 	Message(p []byte, drain func(n int)) int
 	// Finish gives the final answer.
-	Finish(st grpc.Status, trailers []hpack.Field)
+	Finish(f Final)
 }
 
-// Ended is how an attempt ended, by the evidence on the wire.
+// Kind is the kind of a final answer.
+type Kind int
+
+// The kinds.
+const (
+	Answered Kind = iota // by the attempt whose response is the client's: Ended tells how that came to its end
+	Refused              // by the module: trying again does no harm
+	Failed               // by the module: the call may have run
+)
+
+// Final is a final answer.
+type Final struct {
+	Kind  Kind
+	After time.Duration // of a refusal: how long the client should stay away
+	Late  bool          // of a failure: the client's time is over
+	Ended *Ended        // Answered: of the answering attempt; Failed: of the last one, or nil
+}
+
+// Report is what an answer tells of the worker.
+type Report struct {
+	Load    brain.Load
+	Warmth  brain.Warmth
+	Company int // requests of the function that the worker held; -1: untold
+}
+
+// NoReport tells nothing.
+var NoReport = Report{Load: brain.NoLoad, Company: -1}
+
+// Ended is how an attempt ended, by the evidence on the wire. Head and Tail are of the response, in the words of
+// the protocol, for the front that speaks it.
 type Ended struct {
-	Result   brain.Result
-	Status   grpc.Status   // what a client is told if this is its answer
-	Answer   []byte        // the framed messages that no client has been handed yet; the router's to keep
-	Metadata []hpack.Field // of the response
-	Trailers []hpack.Field // the worker's own
-	Report   oip.Report
-	Drains   bool // the worker said that it takes nothing new
+	Result brain.Result
+	Answer []byte // what no client has been handed yet; the router's to keep
+	Head   any
+	Tail   any
+	Report Report
+	Drains bool // the worker said that it takes nothing new
 }
 
 // Attempt is an upstream's handle of one attempt.
@@ -81,9 +102,8 @@
 	deadline time.Duration
 	attempts []*try
 	out      int
-	answer   *try // whose response is the client's
-	last     Ended
-	failed   bool // last holds how an attempt ended
+	answer   *try   // whose response is the client's
+	last     *Ended // how the last attempt ended that brought no answer
 }
 
 // try is one attempt of a call.
@@ -100,12 +120,12 @@
 
 // began takes the start of a streamed response: from now on it is the client's, unless the call has ended or
 // another attempt was first.
-func (e *entry) began(t *try, metadata []hpack.Field) bool {
+func (e *entry) began(t *try, head any) bool {
 	if e.state != waiting || t.ended {
 		return false
 	}
 	e.state, e.answer = streaming, t
-	e.call.Client.Start(metadata)
+	e.call.Client.Start(head)
 	t.handle.Grant(e.call.Client)
 	return true
 }
@@ -120,49 +140,40 @@
 		if len(how.Answer) > 0 { // it had ended before it was granted to the client
 			e.call.Client.Message(how.Answer, nil)
 		}
-		e.finish(how.Status, how.Trailers)
+		e.finish(Final{Ended: &how})
 	case e.state == waiting && how.Result == brain.OK:
 		e.answer = t
-		e.call.Client.Start(how.Metadata)
+		e.call.Client.Start(how.Head)
 		if len(how.Answer) > 0 {
 			e.call.Client.Message(how.Answer, nil)
 		}
-		e.finish(how.Status, how.Trailers)
-	case how.Status.Code != grpc.OK:
-		e.last, e.failed = how, true
+		e.finish(Final{Ended: &how})
+	default:
+		e.last = &how
 	}
 	return e.state == done
 }
 
-func (e *entry) finish(st grpc.Status, trailers []hpack.Field) {
+func (e *entry) finish(f Final) {
 	e.state = done
-	e.call.Client.Finish(st, trailers)
+	e.call.Client.Finish(f)
 }
 
 // refuse gives the module's refusal: nothing ran, or a repeat does no harm, so the client may come again,
-// not before after (gRFC A6, server pushback).
+// not before after.
 func (e *entry) refuse(after time.Duration) bool {
 	if e.state != waiting {
 		return false
 	}
-	e.finish(grpc.Status{Code: grpc.Unavailable, Message: "refused; trying again does no harm"},
-		[]hpack.Field{{Name: "grpc-retry-pushback-ms", Value: millis(after)}})
+	e.finish(Final{Kind: Refused, After: after})
 	return true
 }
 
-// fail gives the module's failure: the call may have run, so the client is told not to repeat it by itself.
-// What a worker last said of the call is passed on where it says more.
+// fail gives the module's failure: the call may have run.
 func (e *entry) fail(now time.Duration) bool {
 	if e.state == done {
 		return false
 	}
-	st := grpc.Status{Code: grpc.Unknown, Message: "no answer; the call may have run"}
-	switch {
-	case now >= e.deadline:
-		st = grpc.Status{Code: grpc.DeadlineExceeded, Message: "deadline exceeded; the call may have run"}
-	case e.failed && e.last.Result == brain.Errored && e.last.Status.Code != grpc.Unavailable:
-		st = e.last.Status
-	}
-	e.finish(st, []hpack.Field{{Name: "grpc-retry-pushback-ms", Value: "-1"}})
+	e.finish(Final{Kind: Failed, Late: now >= e.deadline, Ended: e.last})
 	return true
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,14 +8,11 @@
 	"errors"
 	"log/slog"
 	"maps"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/topazfront/topazfront/brain"
-	"github.com/topazfront/topazfront/internal/oip"
 	"github.com/topazfront/topazfront/internal/roster"
-	"github.com/topazfront/topazfront/internal/transport/hpack"
 	"github.com/topazfront/topazfront/internal/wheel"
 )
 
@@ -25,11 +22,12 @@
 	// Send starts an attempt, which ends by one Router.AttemptEnded with the same token.
 	Send(token Token, c *Call, worker string, n int, left time.Duration) Attempt
 	// Load orders copies of a function held; it ends by one Router.OrderEnded.
-	Load(worker, model, version string, copies int, limit time.Duration, done func(Order))
+	Load(worker, function string, copies int, limit time.Duration, done func(Order))
 	// Ask asks a worker for its readiness and its load.
 	Ask(worker string, limit time.Duration, done func(Probe))
-	// Workers replaces the list: addresses by id. A worker that is not in it gets no new connections.
-	Workers(addresses map[string]string)
+	// Workers replaces the list. A worker that is not in it gets no new connections; one that is not on, no new
+	// attempts.
+	Workers(list []roster.Worker)
 }
 
 // Token names an attempt between router and upstream.
@@ -45,7 +43,7 @@
 type Probe struct {
 	Result brain.Result
 	Ready  bool
-	Report oip.Report
+	Report Report
 }
 
 // Config is a router's share of the settings.
@@ -97,7 +95,7 @@
 	due    time.Duration // when the module asked to be woken; 0: not
 	quit   bool          // the loop ends once no call is left
 	killed bool
-	fns    map[string]*function
+	fns    map[string]time.Duration // when each function was last called
 	stats  Stats
 
 	// With gossip only: when each worker last gave a sign of life, and those that peers were told are silent.
@@ -130,7 +128,7 @@
 	}
 	r := &Router{cfg: cfg, up: up, begin: time.Now(), wake: make(chan struct{}, 1), ended: make(chan struct{}),
 		core: core, roster: roster.New(cfg.Roster), calls: map[brain.RequestID]*entry{},
-		wheel: wheel.New(time.Millisecond, epoch), fns: map[string]*function{}, heard: map[string]time.Duration{},
+		wheel: wheel.New(time.Millisecond, epoch), fns: map[string]time.Duration{}, heard: map[string]time.Duration{},
 		silent: map[string]bool{}}
 	go r.loop()
 	return r, nil
@@ -301,37 +299,24 @@
 		e.id = r.next
 		r.calls[e.id] = e
 		r.stats.Calls++
-		fn := r.called(c)
-		r.events = append(r.events, brain.Request{ID: e.id, Function: fn, Class: c.Class, Tenant: c.Tenant,
+		r.called(c.Function)
+		r.events = append(r.events, brain.Request{ID: e.id, Function: c.Function, Class: c.Class, Tenant: c.Tenant,
 			MemoryMB: c.MemoryMB, Lanes: c.Lanes, LoadTime: c.LoadTime, Work: c.Work,
 			Left: e.deadline - r.now})
 	})
 	return func() { r.post(func() { r.drop(e) }) }, ok
 }
 
-// function is a model, and a version where one was asked for, by the key that the module knows.
-type function struct {
-	model, version string
-	called         time.Duration
-}
-
 // keepFor is how long a function is known after its last call: longer than the module has orders for it.
 const keepFor = 10 * time.Minute
 
-// called notes a call of a function and returns its key. It guards against names without end: those not called
-// for long are forgotten.
-func (r *Router) called(c *Call) string {
-	key := c.Routed.Function()
-	f := r.fns[key]
-	if f == nil {
-		f = &function{model: c.Routed.Model, version: c.Routed.Version}
-		r.fns[key] = f
-		if len(r.fns)%1024 == 0 {
-			maps.DeleteFunc(r.fns, func(_ string, f *function) bool { return f.called > 0 && r.now-f.called > keepFor })
-		}
+// called notes a call of a function. It guards against names without end: those not called for long are
+// forgotten.
+func (r *Router) called(key string) {
+	if _, ok := r.fns[key]; !ok && len(r.fns)%1024 == 1023 {
+		maps.DeleteFunc(r.fns, func(_ string, at time.Duration) bool { return r.now-at > keepFor })
 	}
-	f.called = r.now
-	return key
+	r.fns[key] = r.now
 }
 
 // drop takes a client's leaving: nothing is owed any more.
@@ -371,7 +356,7 @@
 		left = min(left, a.Timeout)
 	}
 	if e.state != waiting || left <= 0 {
-		r.end(t, Ended{Result: brain.NotSent, Report: oip.NoReport})
+		r.end(t, Ended{Result: brain.NotSent, Report: NoReport})
 		return
 	}
 	r.stats.Attempts++
@@ -390,11 +375,11 @@
 }
 
 // AttemptBegan tells that the first message of a streamed response has come.
-func (r *Router) AttemptBegan(token Token, metadata []hpack.Field) {
+func (r *Router) AttemptBegan(token Token, head any) {
 	t := token.t
 	r.post(func() {
 		r.alive(t.worker, brain.OK)
-		if t.e.began(t, metadata) {
+		if t.e.began(t, head) {
 			r.events = append(r.events, brain.Started{ID: t.e.id, Attempt: t.n, Worker: t.worker,
 				Took: r.now - t.sent})
 		}
@@ -425,34 +410,26 @@
 		}
 	}
 	r.alive(t.worker, how.Result)
-	company := -1
-	if how.Report.Company >= 0 {
-		company = int(how.Report.Company)
-	}
 	r.events = append(r.events, brain.Outcome{ID: e.id, Attempt: t.n, Worker: t.worker, Result: how.Result,
-		Took: r.now - t.sent, Final: final, Warmth: brain.Warmth(how.Report.Warmth), Company: company,
-		Load: load(how.Report)})
+		Took: r.now - t.sent, Final: final, Warmth: how.Report.Warmth, Company: how.Report.Company,
+		Load: how.Report.Load})
 	if how.Drains {
 		r.roster.Drains(r.now, t.worker)
 	}
 	r.closeCall(e)
 }
 
-func load(p oip.Report) brain.Load {
-	return brain.Load{InFlight: p.InFlight, Queue: p.Queue, Loading: p.Loading}
-}
-
 // Orders and probes -----------------------------------------------------------------------------------
 
 func (r *Router) order(a brain.LoadOrder) {
-	fn, begin := r.fns[a.Function], r.now
-	if fn == nil {
+	begin := r.now
+	if _, ok := r.fns[a.Function]; !ok {
 		r.events = append(r.events, brain.Loaded{Worker: a.Worker, Function: a.Function, Result: brain.NotSent})
 		return
 	}
 	r.stats.Orders++
-	r.cfg.Log.Debug("order", "worker", a.Worker, "model", fn.model, "copies", a.Copies)
-	r.up.Load(a.Worker, fn.model, fn.version, a.Copies, r.cfg.OrderTimeout, func(o Order) {
+	r.cfg.Log.Debug("order", "worker", a.Worker, "function", a.Function, "copies", a.Copies)
+	r.up.Load(a.Worker, a.Function, a.Copies, r.cfg.OrderTimeout, func(o Order) {
 		r.post(func() {
 			r.alive(a.Worker, o.Result)
 			r.events = append(r.events, brain.Loaded{Worker: a.Worker, Function: a.Function, Result: o.Result,
@@ -468,7 +445,7 @@
 		r.post(func() {
 			r.alive(worker, p.Result)
 			r.events = append(r.events, brain.Probed{Worker: worker, Result: p.Result, Took: r.now - begin,
-				Load: load(p.Report)})
+				Load: p.Report.Load})
 		})
 	})
 }
@@ -535,15 +512,15 @@
 	out := r.roster.Step(r.now)
 	if out.List != nil {
 		members := make([]brain.Member, 0, len(out.List))
-		addresses := map[string]string{}
+		listed := map[string]bool{}
 		for _, w := range out.List {
 			m := w.Member
 			members = append(members, m)
-			addresses[m.ID] = w.Address
+			listed[m.ID] = true
 		}
-		r.up.Workers(addresses)
-		maps.DeleteFunc(r.heard, func(id string, _ time.Duration) bool { return addresses[id] == "" })
-		maps.DeleteFunc(r.silent, func(id string, _ bool) bool { return addresses[id] == "" })
+		r.up.Workers(out.List)
+		maps.DeleteFunc(r.heard, func(id string, _ time.Duration) bool { return !listed[id] })
+		maps.DeleteFunc(r.silent, func(id string, _ bool) bool { return !listed[id] })
 		r.events = append(r.events, brain.Roster{Whole: true, Members: members})
 	}
 	for _, id := range out.Ask {
@@ -586,7 +563,3 @@
 	}
 	return lost
 }
-
-func millis(d time.Duration) string {
-	return strconv.FormatInt(max(d, 0).Milliseconds(), 10)
-}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -6,10 +6,7 @@
 	"time"
 
 	"github.com/topazfront/topazfront/brain"
-	"github.com/topazfront/topazfront/internal/oip"
 	"github.com/topazfront/topazfront/internal/roster"
-	"github.com/topazfront/topazfront/internal/transport/grpc"
-	"github.com/topazfront/topazfront/internal/transport/hpack"
 )
 
 // instant is an upstream whose workers answer at once, unless they are dead.
@@ -32,15 +29,15 @@
 }
 
 func (u *instant) Send(token Token, _ *Call, worker string, _ int, _ time.Duration) Attempt {
-	how := Ended{Result: brain.OK, Report: oip.NoReport}
+	how := Ended{Result: brain.OK, Report: NoReport}
 	if u.is(worker) {
-		how = Ended{Result: brain.Reset, Report: oip.NoReport}
+		how = Ended{Result: brain.Reset, Report: NoReport}
 	}
 	u.r.AttemptEnded(token, how)
 	return nothing{}
 }
 
-func (u *instant) Load(_, _, _ string, copies int, _ time.Duration, done func(Order)) {
+func (u *instant) Load(_, _ string, copies int, _ time.Duration, done func(Order)) {
 	done(Order{Result: brain.OK, Copies: copies})
 }
 
@@ -52,17 +49,17 @@
 	if u.is(worker) {
 		res = brain.TimedOut
 	}
-	done(Probe{Result: res, Ready: true, Report: oip.NoReport})
+	done(Probe{Result: res, Ready: true, Report: NoReport})
 }
 
-func (u *instant) Workers(map[string]string) {}
+func (u *instant) Workers([]roster.Worker) {}
 
 // waiter is a client that waits for its final answer.
-type waiter chan grpc.Status
+type waiter chan Final
 
-func (w waiter) Start([]hpack.Field)                    {}
-func (w waiter) Message(p []byte, _ func(int)) int      { return len(p) }
-func (w waiter) Finish(st grpc.Status, _ []hpack.Field) { w <- st }
+func (w waiter) Start(any)                         {}
+func (w waiter) Message(p []byte, _ func(int)) int { return len(p) }
+func (w waiter) Finish(f Final)                    { w <- f }
 
 // told is a peer side that notes what it is told.
 type told struct {
@@ -106,8 +103,8 @@
 	return r, u, p
 }
 
-func (w waiter) call(r *Router, model string) grpc.Status {
-	r.Submit(&Call{Routed: oip.Routed{Model: model}, Class: "c", MemoryMB: 1, Lanes: 1, Left: 3 * time.Second, Client: w})
+func (w waiter) call(r *Router, model string) Final {
+	r.Submit(&Call{Function: model, Class: "c", MemoryMB: 1, Lanes: 1, Left: 3 * time.Second, Client: w})
 	return <-w
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -17,12 +17,13 @@
 // grants it to the client is held; the worker's window is given back as the client's connection takes what
 // came, so that a slow reader holds its own worker's stream back and nothing else.
 type attempt struct {
-	p      *Pool
-	token  router.Token
-	call   *router.Call
-	worker string
-	n      int
-	until  time.Time
+	p        *Pool
+	token    router.Token
+	req      *oip.Request
+	streamed bool
+	worker   string
+	n        int
+	until    time.Time
 
 	mu       sync.Mutex
 	stream   *http2.Stream
@@ -47,19 +48,19 @@
 		return nil
 	}
 	path := oip.Infer
-	if a.call.Streamed {
+	if a.streamed {
 		path = oip.StreamInfer
 	}
 	fields := append(a.p.head(path, time.Until(a.until)), hpack.Field{Name: "grpc-previous-rpc-attempts",
 		Value: strconv.Itoa(a.n)})
-	if a.call.Encoding != "" {
-		fields = append(fields, hpack.Field{Name: "grpc-encoding", Value: a.call.Encoding})
+	if a.req.Encoding != "" {
+		fields = append(fields, hpack.Field{Name: "grpc-encoding", Value: a.req.Encoding})
 	}
-	if a.call.Accept != "" {
-		fields = append(fields, hpack.Field{Name: "grpc-accept-encoding", Value: a.call.Accept})
+	if a.req.Accept != "" {
+		fields = append(fields, hpack.Field{Name: "grpc-accept-encoding", Value: a.req.Accept})
 	}
-	fields = append(fields, a.call.Metadata...)
-	s, err := c.Open(a, fields, a.call.Message, true)
+	fields = append(fields, a.req.Metadata...)
+	s, err := c.Open(a, fields, a.req.Message, true)
 	if err == nil {
 		a.stream = s
 	}
@@ -68,8 +69,8 @@
 
 // fail ends an attempt that was never sent.
 func (a *attempt) fail(reason string) {
-	a.end(router.Ended{Result: brain.NoConnection, Report: oip.NoReport,
-		Status: grpc.Status{Code: grpc.Unavailable, Message: "no connection to a worker: " + reason}})
+	a.end(router.Ended{Result: brain.NoConnection, Report: router.NoReport,
+		Tail: oip.Tail{Status: grpc.Status{Code: grpc.Unavailable, Message: "no connection to a worker: " + reason}}})
 }
 
 func (a *attempt) end(how router.Ended) {
@@ -79,7 +80,7 @@
 		return
 	}
 	a.ended = true
-	how.Metadata = a.metadata
+	how.Head = a.metadata
 	if a.client == nil {
 		how.Answer, a.held = a.held, nil
 	}
@@ -110,11 +111,11 @@
 	if err != nil {
 		a.p.cfg.Log.Info("unreadable load report", "worker", a.worker, "error", err)
 	}
-	got, drains := ofTrailers(fields, messages, broken, a.call.Streamed)
+	got, drains := ofTrailers(fields, messages, broken, a.streamed)
 	if bad != nil {
 		got = *bad
 	}
-	a.end(router.Ended{Result: got.result, Status: got.status, Trailers: passed(fields, false), Report: report,
+	a.end(router.Ended{Result: got.result, Tail: oip.Tail{Status: got.status, Trailers: passed(fields, false)}, Report: told(report),
 		Drains: drains})
 }
 
@@ -139,7 +140,7 @@
 		return
 	}
 	broken := a.counter.Add(p)
-	before := a.counter.Messages == 0 || !a.call.Streamed
+	before := a.counter.Messages == 0 || !a.streamed
 	switch {
 	case broken != nil || a.badHTTP != nil:
 	case a.client != nil:
@@ -152,21 +153,21 @@
 		}
 	}
 	tooLarge := before && len(a.held) > a.p.cfg.MaxMessage+grpc.PrefixLen
-	tell := a.call.Streamed && !a.began && a.counter.Messages > 0 && broken == nil && a.badHTTP == nil
+	tell := a.streamed && !a.began && a.counter.Messages > 0 && broken == nil && a.badHTTP == nil
 	a.began = a.began || tell
 	metadata, bad := a.metadata, a.badHTTP
 	a.mu.Unlock()
 	switch {
 	case bad != nil:
 		s.Reset(http2.Cancel)
-		a.end(router.Ended{Result: bad.result, Status: bad.status, Report: oip.NoReport})
+		a.end(router.Ended{Result: bad.result, Tail: oip.Tail{Status: bad.status}, Report: router.NoReport})
 	case broken != nil || tooLarge:
 		s.Reset(http2.Cancel)
-		a.end(router.Ended{Result: brain.Errored, Report: oip.NoReport, Status: grpc.Status{Code: grpc.Internal,
-			Message: "worker's answer is broken or too large"}})
+		a.end(router.Ended{Result: brain.Errored, Report: router.NoReport, Tail: oip.Tail{Status: grpc.Status{Code: grpc.Internal,
+			Message: "worker's answer is broken or too large"}}})
 	case end:
-		a.end(router.Ended{Result: brain.Errored, Report: oip.NoReport, Status: grpc.Status{Code: grpc.Unknown,
-			Message: "worker sent no status"}})
+		a.end(router.Ended{Result: brain.Errored, Report: router.NoReport, Tail: oip.Tail{Status: grpc.Status{Code: grpc.Unknown,
+			Message: "worker sent no status"}}})
 	case tell:
 		a.p.router.AttemptBegan(a.token, metadata)
 	}
@@ -181,7 +182,7 @@
 		return // Headers or Data has told the end
 	}
 	got := ofStream(err)
-	a.end(router.Ended{Result: got.result, Status: got.status, Report: oip.NoReport})
+	a.end(router.Ended{Result: got.result, Tail: oip.Tail{Status: got.status}, Report: router.NoReport})
 }
 
 // Grant implements router.Attempt.
@@ -220,6 +221,6 @@
 	if s != nil {
 		s.Reset(http2.Cancel)
 	}
-	a.end(router.Ended{Result: brain.Cancelled, Report: oip.NoReport,
-		Status: grpc.Status{Code: grpc.Canceled, Message: "cancelled by the gateway"}})
+	a.end(router.Ended{Result: brain.Cancelled, Report: router.NoReport,
+		Tail: oip.Tail{Status: grpc.Status{Code: grpc.Canceled, Message: "cancelled by the gateway"}}})
 }
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -126,7 +126,8 @@
 }
 
 // Load implements router.Upstream: RepositoryModelLoad, whose parameter "copies" asks for so many.
-func (p *Pool) Load(worker, model, version string, copies int, limit time.Duration, done func(router.Order)) {
+func (p *Pool) Load(worker, function string, copies int, limit time.Duration, done func(router.Order)) {
+	model, version := oip.SplitFunction(function)
 	m := &inference.RepositoryModelLoadRequest{ModelName: model, Parameters: map[string]*inference.ModelRepositoryParameter{
 		oip.ParamCopies: {ParameterChoice: &inference.ModelRepositoryParameter_Int64Param{Int64Param: int64(copies)}}}}
 	if version != "" {
@@ -146,7 +147,7 @@
 func (p *Pool) Ask(worker string, limit time.Duration, done func(router.Probe)) {
 	p.control(worker, oip.ServerReady, &inference.ServerReadyRequest{}, limit,
 		func(got verdict, body []byte, report oip.Report) {
-			a := router.Probe{Result: got.result, Report: report}
+			a := router.Probe{Result: got.result, Report: told(report)}
 			if got.result == brain.OK && got.status.Code != grpc.OK {
 				a.Result = brain.Errored
 			}
@@ -157,3 +158,9 @@
 			done(a)
 		})
 }
+
+// told puts a worker's report in the router's words.
+func told(r oip.Report) router.Report {
+	return router.Report{Load: brain.Load{InFlight: r.InFlight, Queue: r.Queue, Loading: r.Loading},
+		Warmth: brain.Warmth(r.Warmth), Company: int(max(r.Company, -1))}
+}
--- a/internal/upstream/evidence_test.go
+++ b/internal/upstream/evidence_test.go
@@ -23,7 +23,6 @@
 	"github.com/topazfront/topazfront/internal/roster"
 	"github.com/topazfront/topazfront/internal/router"
 	"github.com/topazfront/topazfront/internal/transport/grpc"
-	"github.com/topazfront/topazfront/internal/transport/hpack"
 )
 
 // probe is a policy that sends each request once, to worker w, and notes what it is told.
@@ -73,14 +72,20 @@
 
 func newAnswer() *answer { return &answer{status: make(chan grpc.Status, 4)} }
 
-func (a *answer) Start([]hpack.Field) { a.mu.Lock(); a.began++; a.mu.Unlock() }
+func (a *answer) Start(any) { a.mu.Lock(); a.began++; a.mu.Unlock() }
 func (a *answer) Message(p []byte, _ func(int)) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.bytes.Write(p)
 	return len(p)
 }
-func (a *answer) Finish(st grpc.Status, _ []hpack.Field) { a.status <- st }
+func (a *answer) Finish(f router.Final) {
+	if f.Kind == router.Answered {
+		a.status <- f.Ended.Tail.(oip.Tail).Status
+		return
+	}
+	a.status <- grpc.Status{Code: grpc.Unknown}
+}
 
 // stage is a router with one worker at an address.
 func stage(t *testing.T, addr string) (*router.Router, *probe) {
@@ -106,8 +111,8 @@
 func submit(t *testing.T, r *router.Router, streamed bool, left time.Duration) *answer {
 	t.Helper()
 	a := newAnswer()
-	if _, ok := r.Submit(&router.Call{Routed: oip.Routed{Model: "m"}, Class: "c", Left: left, Streamed: streamed,
-		Message: body(), Client: a}); !ok {
+	if _, ok := r.Submit(&router.Call{Function: "m", Class: "c", Left: left, Streamed: streamed,
+		Request: &oip.Request{Message: body()}, Client: a}); !ok {
 		t.Fatal("not taken")
 	}
 	return a
@@ -418,14 +423,14 @@
 	pool := New(Config{Router: "r", ConnectTimeout: time.Second, MaxConns: 1, MaxMessage: 1 << 20})
 	defer pool.Close()
 	pool.Attach(r)
-	pool.Workers(map[string]string{"w": ln.Addr().String()})
+	pool.Workers([]roster.Worker{{Member: brain.Member{ID: "w"}, Address: ln.Addr().String()}})
 	orders, probes := make(chan router.Order, 1), make(chan router.Probe, 1)
-	pool.Load("w", "m", "", 1, 10*time.Second, func(o router.Order) { orders <- o })
+	pool.Load("w", "m", 1, 10*time.Second, func(o router.Order) { orders <- o })
 	if o := get(t, orders, "the order's end"); o.Result != brain.OK || o.Copies != 2 {
 		t.Errorf("order: %+v", o)
 	}
 	pool.Ask("w", 10*time.Second, func(a router.Probe) { probes <- a })
-	if a := get(t, probes, "the probe's end"); a.Result != brain.OK || !a.Ready || a.Report.InFlight != 4 {
+	if a := get(t, probes, "the probe's end"); a.Result != brain.OK || !a.Ready || a.Report.Load.InFlight != 4 {
 		t.Errorf("probe: %+v", a)
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/topazfront/topazfront/internal/oip"
+	"github.com/topazfront/topazfront/internal/roster"
 	"github.com/topazfront/topazfront/internal/router"
 	"github.com/topazfront/topazfront/internal/transport/grpc"
 	"github.com/topazfront/topazfront/internal/transport/hpack"
@@ -63,10 +65,13 @@
 func (p *Pool) Attach(r *router.Router) { p.router = r }
 
 // Workers implements router.Upstream.
-func (p *Pool) Workers(addresses map[string]string) {
+func (p *Pool) Workers(list []roster.Worker) {
 	var leave []*http2.Conn
+	addresses := make(map[string]string, len(list))
 	p.mu.Lock()
-	for id, addr := range addresses {
+	for _, l := range list {
+		id, addr := l.ID, l.Address
+		addresses[id] = addr
 		w := p.workers[id]
 		if w == nil {
 			p.workers[id] = &worker{id: id, addr: addr}
@@ -89,8 +94,13 @@
 
 // Send implements router.Upstream.
 func (p *Pool) Send(token router.Token, c *router.Call, worker string, n int, left time.Duration) router.Attempt {
-	a := &attempt{p: p, token: token, call: c, worker: worker, n: n, until: time.Now().Add(left)}
+	req, _ := c.Request.(*oip.Request)
+	a := &attempt{p: p, token: token, req: req, streamed: c.Streamed, worker: worker, n: n, until: time.Now().Add(left)}
 	a.drain = a.drained
+	if req == nil {
+		a.fail("the call came by another protocol")
+		return a
+	}
 	p.do(worker, a)
 	return a
 }
