gRPC's words for final answers stand in its front, with a test; first quick score on sockets

Cause: the router's neutral final answers left the choice of a gRPC status in two places, and a test of the wire's evidence failed on it (the client was told UNKNOWN, want INTERNAL). Change: grpcfront.Told is the one place; the test uses it.

--- a/internal/front/grpcfront/front.go
+++ b/internal/front/grpcfront/front.go
@@ -412,29 +412,32 @@
 }
 
 // Finish implements router.Client.
-func (x *exchange) Finish(f router.Final) {
+func (x *exchange) Finish(f router.Final) { x.reply(Told(f)) }
+
+// Told puts a final answer in gRPC's words: a status and trailers, with the advice on retries of gRFC A6.
+func Told(f router.Final) (grpc.Status, []hpack.Field) {
+	const pushback = "grpc-retry-pushback-ms"
 	tail := oip.Tail{}
 	if f.Ended != nil {
 		tail, _ = f.Ended.Tail.(oip.Tail)
 	}
-	const pushback = "grpc-retry-pushback-ms" // gRFC A6
 	switch f.Kind {
 	case router.Answered:
-		x.reply(tail.Status, tail.Trailers)
+		return tail.Status, tail.Trailers
 	case router.Refused:
-		x.reply(grpc.Status{Code: grpc.Unavailable, Message: "refused; trying again does no harm"},
-			[]hpack.Field{{Name: pushback, Value: strconv.FormatInt(max(f.After, 0).Milliseconds(), 10)}})
-	default: // the client is told not to repeat it by itself; what a worker last said is passed on if it says more
-		st := grpc.Status{Code: grpc.Unknown, Message: "no answer; the call may have run"}
-		switch {
-		case f.Late:
-			st = grpc.Status{Code: grpc.DeadlineExceeded, Message: "deadline exceeded; the call may have run"}
-		case f.Ended != nil && f.Ended.Result == brain.Errored && tail.Status.Code != grpc.Unavailable &&
-			tail.Status.Code != grpc.OK:
-			st = tail.Status
-		}
-		x.reply(st, []hpack.Field{{Name: pushback, Value: "-1"}})
+		return grpc.Status{Code: grpc.Unavailable, Message: "refused; trying again does no harm"},
+			[]hpack.Field{{Name: pushback, Value: strconv.FormatInt(max(f.After, 0).Milliseconds(), 10)}}
+	}
+	// The client is told not to repeat it by itself. What a worker last said is passed on where it says more.
+	st := grpc.Status{Code: grpc.Unknown, Message: "no answer; the call may have run"}
+	switch {
+	case f.Late:
+		st = grpc.Status{Code: grpc.DeadlineExceeded, Message: "deadline exceeded; the call may have run"}
+	case f.Ended != nil && f.Ended.Result == brain.Errored && tail.Status.Code != grpc.Unavailable &&
+		tail.Status.Code != grpc.OK:
+		st = tail.Status
 	}
+	return st, []hpack.Field{{Name: pushback, Value: "-1"}}
 }
 
 // reply ends a call. A served one of a stream makes room for the stream's next request.
--- a/internal/front/grpcfront/front_test.go
+++ b/internal/front/grpcfront/front_test.go
@@ -207,3 +207,30 @@
 		t.Errorf("ended by %v", st)
 	}
 }
+
+// TestFinalAnswersInItsWords: the router's neutral final answers become a status and advice on retries; a failure
+// never invites one, and what a worker said of the call is passed on only where it says more than that it failed.
+func TestFinalAnswersInItsWords(t *testing.T) {
+	internal := &router.Ended{Result: brain.Errored, Tail: oip.Tail{Status: grpc.Status{Code: grpc.Internal, Message: "boom"}}}
+	away := &router.Ended{Result: brain.Errored, Tail: oip.Tail{Status: grpc.Status{Code: grpc.Unavailable}}}
+	lost := &router.Ended{Result: brain.Reset, Tail: oip.Tail{Status: grpc.Status{Code: grpc.Unknown}}}
+	for name, c := range map[string]struct {
+		f    router.Final
+		code grpc.Code
+		push string
+	}{
+		"refused":               {router.Final{Kind: router.Refused, After: 250 * time.Millisecond}, grpc.Unavailable, "250"},
+		"failed":                {router.Final{Kind: router.Failed}, grpc.Unknown, "-1"},
+		"late":                  {router.Final{Kind: router.Failed, Late: true, Ended: internal}, grpc.DeadlineExceeded, "-1"},
+		"failed by an error":    {router.Final{Kind: router.Failed, Ended: internal}, grpc.Internal, "-1"},
+		"failed, worker away":   {router.Final{Kind: router.Failed, Ended: away}, grpc.Unknown, "-1"},
+		"failed, without words": {router.Final{Kind: router.Failed, Ended: &router.Ended{Result: brain.Errored}}, grpc.Unknown, "-1"},
+		"answered":              {router.Final{Ended: &router.Ended{Result: brain.OK, Tail: oip.Tail{}}}, grpc.OK, ""},
+		"answered, then lost":   {router.Final{Ended: lost}, grpc.Unknown, ""},
+	} {
+		st, tail := Told(c.f)
+		if push, _ := grpc.Get(tail, "grpc-retry-pushback-ms"); st.Code != c.code || push != c.push {
+			t.Errorf("%s: %v, pushback %q; want %v, %q", name, st, push, c.code, c.push)
+		}
+	}
+}
--- a/internal/upstream/evidence_test.go
+++ b/internal/upstream/evidence_test.go
@@ -18,6 +18,7 @@
 	peerhpack "golang.org/x/net/http2/hpack"
 
 	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/front/grpcfront"
 	"github.com/topazfront/topazfront/internal/oip"
 	"github.com/topazfront/topazfront/internal/oip/inference"
 	"github.com/topazfront/topazfront/internal/roster"
@@ -80,11 +81,8 @@
 	return len(p)
 }
 func (a *answer) Finish(f router.Final) {
-	if f.Kind == router.Answered {
-		a.status <- f.Ended.Tail.(oip.Tail).Status
-		return
-	}
-	a.status <- grpc.Status{Code: grpc.Unknown}
+	st, _ := grpcfront.Told(f)
+	a.status <- st
 }
 
 // stage is a router with one worker at an address.
