Tests of the platform's parts at sockets; waiting at the bound of connections shares those that stand

Seen: with one connection allowed, of three requests one was written and two waited until their time was out (TestOneBrokenAnswerEndsAllOnItsConnection, TestBounds). Ruled out: the write path (the queue was empty) and the dial (one connection stood). Wrong: conn.serve took one that waited and left the rest for dials that the bound forbids; place gave up at the bound where a retired connection was about to end.

The module forgets workers that have gone (with what it knew of them, and lets go who waited there) and, after 10 s, names that never answered; the router's names are looked through as they double: memory kept growing with each.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"iter"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -55,7 +56,8 @@
 	loadGuess   = 800 * time.Millisecond // a load's time before any is known
 	runGuess    = 100 * time.Millisecond // a run's time before any is known
 	holdReserve = 0.5                    // of the load ration that holding warm leaves to misses
-	forgetAfter = 2 * time.Minute        // a function not called for so long is forgotten
+	forgetAfter = 2 * time.Minute        // a function not called for so long is forgotten,
+	forgetNew   = 10 * time.Second       // and one that never answered sooner: anyone may make up names
 )
 
 // worker is what this router knows of one worker.
@@ -325,6 +327,7 @@
 		}
 	}
 	slices.SortFunc(d.list, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	d.bury()
 	d.roster++
 	d.part = float64(max(len(d.list), 1)) / float64(d.set.Routers)
 	if d.begun && d.lastRound < d.now {
@@ -332,6 +335,33 @@
 	}
 }
 
+// bury forgets the workers that have gone and have no own attempt out, and lets the requests go that waited for
+// one. It guards against a fleet whose workers are replaced all day by others under new ids.
+func (d *Dispatcher) bury() {
+	dead := map[string]bool{}
+	for id, w := range d.workers {
+		if w.State == Gone && len(w.open) == 0 {
+			dead[id] = true
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(dead)) {
+		d.held = append(d.held, d.workers[id].asking...)
+		for _, f := range d.order {
+			if p := f.places[id]; p != nil {
+				d.held = append(d.held, p.waiting...)
+				delete(f.places, id)
+			}
+		}
+		delete(d.workers, id)
+	}
+	for _, f := range d.order {
+		f.split = slices.DeleteFunc(f.split, func(s part) bool { return dead[s.w.ID] })
+	}
+}
+
 // Ordinary path -----------------------------------------------------------------------------------------
 
 // rank orders the workers for a function by hash, the same at every router.
@@ -361,12 +391,13 @@
 	d.order = slices.DeleteFunc(d.order, func(f *function) bool {
 		f.rate += gain * (float64(f.calls)/span - f.rate)
 		f.calls, d.rate = 0, d.rate+f.rate
-		if d.now-f.called <= forgetAfter {
+		if age := d.now - f.called; age <= forgetNew || f.answered && age <= forgetAfter {
 			return false
 		}
 		delete(d.fns, f.key)
 		return true
 	})
+	d.trim()
 	d.walk()
 }
 
@@ -577,9 +608,7 @@
 		return false
 	}
 	if d.set.LoadSpan > 0 {
-		from := d.now - d.set.LoadSpan
-		d.calls = slices.DeleteFunc(d.calls, func(at time.Duration) bool { return at <= from })
-		d.orders = slices.DeleteFunc(d.orders, func(at time.Duration) bool { return at < from })
+		d.trim()
 		if float64(len(d.orders)+1) > ration*(d.set.LoadFree+d.set.LoadRatio*float64(len(d.calls))) {
 			return false
 		}
@@ -591,6 +620,13 @@
 	return true
 }
 
+// trim drops what lies before the span of the load ration.
+func (d *Dispatcher) trim() {
+	from := d.now - d.set.LoadSpan
+	d.calls = slices.DeleteFunc(d.calls, func(at time.Duration) bool { return at <= from })
+	d.orders = slices.DeleteFunc(d.orders, func(at time.Duration) bool { return at < from })
+}
+
 // loaded takes the answer to an order and lets the requests go that waited on it.
 func (d *Dispatcher) loaded(e Loaded) {
 	w, f := d.workers[e.Worker], d.fns[e.Function]
--- /dev/null
+++ b/internal/platform/node_test.go
@@ -0,0 +1,404 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/router"
+	"github.com/topazfront/topazfront/internal/rules"
+	"github.com/topazfront/topazfront/internal/standin/platform"
+)
+
+// settings are those of a small fleet; times are in microseconds, as the simulator tells them.
+const settings = `{"az":"z","balancers":1,"host_types":["k"],
+ "classes":[{"name":"safe","semantics":"read_like","target":2000000,"deadline":8000000,"worth":1.0},
+  {"name":"keyed","semantics":"idempotency_key","dedup_scope":"cell","window":6000000,"target":2000000,"deadline":8000000,"worth":1.0},
+  {"name":"unsafe","semantics":"non_idempotent","target":2000000,"deadline":8000000,"worth":1.0}],
+ "family_info":{"when_absent":"load","may_order":true,"free_loads":4,"load_ratio":0.1,"load_span":5000000,"linger_idle":4000000,
+  "kind_memory_mb":[8000],"order_timeout":4000000},
+ "feedback":{"how":"piggyback","fields":["active"]},
+ "limits":{"send_cap":5,"may_probe":true,"cancel":true,"second_copies":true,"retry_after":true,"max_retry_after":1000000,
+  "connect_timeout":2000000,"idle_close":15000000,"streams_per_conn":32},
+ "safety":{"drain_grace":500000,"start_capacity":0.2,"warm_within":16000000,"overload_factor":3,"fall":1500000,"grace_to_answer":5000}}`
+
+func file(channel, known string) string {
+	return fmt.Sprintf(`{"name":"r","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":64,"sockets":256},"channel":%q,"known":%s,"settings":%s}`, channel, known, settings)
+}
+
+// fleet is three workers, a channel that lists them, and a router before them.
+type fleet struct {
+	t       *testing.T
+	log     *rules.Log
+	workers []*platform.Worker
+	channel *platform.Channel
+	node    *Node
+	client  *platform.Client
+	mu      sync.Mutex
+	next    int
+}
+
+func newFleet(t *testing.T, decider func(brain.Settings, uint64) (router.Decider, error)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, log: rules.NewLog()}
+	var list []string
+	for i, id := range []string{"a", "b", "c"} {
+		w := &platform.Worker{ID: id, Log: f.log, Work: 2 * time.Millisecond, Drop: "keyed"}
+		if err := w.Start("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(w.Stop)
+		f.workers = append(f.workers, w)
+		list = append(list, fmt.Sprintf("%s %s active %d", id, w.Addr(), i))
+	}
+	var err error
+	if f.channel, err = platform.StartChannel(platform.Nodes(true, list...)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.channel.Stop)
+	cfg, err := Parse([]byte(file(f.channel.Addr(), f.channel.Known())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.node, err = Start(cfg, Options{Decider: decider}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.node.Kill)
+	tr := &http.Transport{MaxIdleConnsPerHost: 64}
+	t.Cleanup(tr.CloseIdleConnections)
+	f.client = &platform.Client{Base: "http://" + f.node.Addr(), Log: f.log, HTTP: &http.Client{Transport: tr}}
+	return f
+}
+
+// call makes one call of a class; the functions are few, so that copies are shared.
+func (f *fleet) call(class string) int {
+	f.mu.Lock()
+	f.next++
+	id := fmt.Sprintf("%016x", f.next)
+	fn := fmt.Sprintf("%016x", f.next%5+1)
+	f.mu.Unlock()
+	status, body := f.client.Call(id, class, fn, 8*time.Second)
+	if status == 200 && body != "done "+id {
+		f.t.Errorf("call %s was served with %q", id, body)
+	}
+	return status
+}
+
+// calls makes n calls of each class, some at once, and returns how many were served.
+func (f *fleet) calls(n int) (served int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	room := make(chan struct{}, 12)
+	for range n {
+		for _, class := range []string{"safe", "keyed", "unsafe"} {
+			room <- struct{}{}
+			wg.Go(func() {
+				if f.call(class) == 200 {
+					mu.Lock()
+					served++
+					mu.Unlock()
+				}
+				<-room
+			})
+		}
+	}
+	wg.Wait()
+	return served
+}
+
+// site is what the checker is told; its slack is wide, as a loaded machine may stand between a send and its record.
+func (f *fleet) site() rules.Site {
+	return rules.Site{Classes: map[string]rules.Class{"safe": {Effect: "safe", All: true, Work: 5 * time.Millisecond},
+		"keyed": {Effect: "keyed", Work: 5 * time.Millisecond}, "unsafe": {Effect: "unsafe", Work: 5 * time.Millisecond}},
+		AnswerGrace: 2 * time.Second, DrainGrace: 500 * time.Millisecond, LoadSpan: 5 * time.Second, LoadFree: 4, LoadShare: 0.1,
+		Slack: time.Second}
+}
+
+func (f *fleet) kept() {
+	f.t.Helper()
+	for _, b := range rules.Check(f.site(), f.log.Records()) {
+		f.t.Error(b)
+	}
+}
+
+// tell has the channel tell of a worker, and waits until the router has heard.
+func (f *fleet) tell(workers ...string) {
+	f.t.Helper()
+	before := f.node.feed.Stats().Cursor
+	f.channel.Tell(platform.Nodes(false, workers...))
+	for range 4000 {
+		if f.node.feed.Stats().Cursor > before {
+			f.node.router.Stats() // the loop has followed by the turn after the one that answers first
+			f.node.router.Stats()
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.t.Fatal("the router does not hear of the change")
+}
+
+// TestADayOnThePlatform: workers drain, die, are replaced at their address, and spoil answers; the channel moves. The
+// rules hold by what workers and clients saw, and nearly all calls are served.
+func TestADayOnThePlatform(t *testing.T) {
+	f := newFleet(t, nil)
+	resp, err := f.client.HTTP.Get(f.client.Base + "/ping")
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	_ = resp.Body.Close()
+	if n := f.calls(20); n < 55 {
+		t.Errorf("%d of 60 served with nothing wrong", n)
+	}
+
+	// a drains. Its process goes on, so that what is still sent there shows.
+	f.tell("a " + f.workers[0].Addr() + " leaving")
+	f.log.Add(rules.Record{Kind: rules.Told, Router: "r", Worker: "a", Off: true})
+	f.calls(20)
+
+	// a has gone, and d comes at its address.
+	addr := f.workers[0].Addr()
+	f.workers[0].Stop()
+	d := &platform.Worker{ID: "d", Log: f.log, Work: 2 * time.Millisecond, Drop: "keyed"}
+	if err := d.Start(addr); err != nil {
+		t.Skip("the address was taken by another process:", err)
+	}
+	defer d.Stop()
+	f.tell("a "+addr+" left", fmt.Sprintf("d %s active 0", addr))
+	f.calls(30)
+	if !slices.ContainsFunc(d.Got(), func(r platform.Request) bool { return r.Verb == "exec" }) {
+		t.Error("the new worker at the old address got nothing")
+	}
+
+	// b spoils one answer in eight, after it has run.
+	var mu sync.Mutex
+	n := 0
+	f.workers[1].Act = func(r platform.Request) {
+		mu.Lock()
+		n++
+		spoil := n%8 == 0 && r.Verb == "exec"
+		mu.Unlock()
+		if !spoil {
+			go f.workers[1].Healthy(r)
+			return
+		}
+		f.workers[1].Run(r)
+		r.Conn.Raw("*4\r\n$16\r\nnoise")
+	}
+	f.calls(30)
+
+	// The channel moves, and c drains by the new one.
+	to, err := platform.StartChannel(`"x":1`, `"x":2`, `"x":3`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.Stop()
+	next, err := Parse([]byte(file(to.Addr(), f.channel.Known())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.node.Move(next)
+	f.channel = to
+	f.tell("c " + f.workers[2].Addr() + " leaving")
+	f.log.Add(rules.Record{Kind: rules.Told, Router: "r", Worker: "c", Off: true})
+	f.calls(10)
+	f.kept()
+}
+
+// breaker is a decider that breaks one rule on purpose.
+type breaker struct {
+	rule    int
+	workers []brain.Member
+	n       int
+}
+
+func (b *breaker) Step(_ time.Duration, events []brain.Event) (out []brain.Action) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case brain.Roster:
+			b.workers = e.Members
+		case brain.Outcome: // the next worker is tried where nothing ran
+			if b.n++; e.Result == brain.NotSent && !e.Final {
+				out = append(out, brain.Send{ID: e.ID, Worker: b.workers[b.n%len(b.workers)].ID})
+			}
+		case brain.Request:
+			b.n++
+			w := b.workers[b.n%len(b.workers)].ID
+			switch b.rule {
+			case 1: // sends on after its final answer
+				out = append(out, brain.Refuse{ID: e.ID})
+				continue
+			case 2: // runs twice
+				out = append(out, brain.Send{ID: e.ID, Worker: b.workers[0].ID}, brain.Send{ID: e.ID, Worker: b.workers[1].ID})
+				continue
+			case 5:
+				out = append(out, brain.LoadOrder{Worker: w, Function: e.Function, Copies: 1})
+			}
+			out = append(out, brain.Send{ID: e.ID, Worker: w})
+		}
+	}
+	return out
+}
+
+// TestTheCheckCanFail breaks rules on purpose, in what decides or in what the parties record, and sees each found.
+func TestTheCheckCanFail(t *testing.T) {
+	for rule, about := range map[int]string{1: "a refusal of a call that ran, and late", 2: "an effect twice", 5: "orders without ration"} {
+		t.Run(about, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, func(brain.Settings, uint64) (router.Decider, error) { return &breaker{rule: rule}, nil })
+			f.calls(20)
+			records := f.log.Records()
+			if rule == 1 { // a worker gets the call long after its final answer
+				last := records[len(records)-1]
+				records = append(records, rules.Record{At: last.At + 2*time.Second, Kind: rules.Got, Router: "r", Call: last.Call, Worker: "a"})
+			}
+			found := rules.Check(f.site(), records)
+			if !slices.ContainsFunc(found, func(b rules.Breach) bool { return b.Rule == rule }) {
+				t.Errorf("rule %d broken on purpose, and found %v", rule, found)
+			}
+		})
+	}
+}
+
+// TestDrainedWorkersGetNothing: with a decider that knows of no drains, the exit's own check keeps the rule.
+func TestDrainedWorkersGetNothing(t *testing.T) {
+	f := newFleet(t, func(brain.Settings, uint64) (router.Decider, error) { return &breaker{}, nil })
+	f.calls(3)
+	f.tell("a " + f.workers[0].Addr() + " leaving")
+	before := len(f.workers[0].Got())
+	f.calls(10)
+	if got := len(f.workers[0].Got()); got != before {
+		t.Errorf("%d messages to a worker that drains", got-before)
+	}
+}
+
+// TestSIGTERM: clients that come, and requests on open connections, are served for a while after it; then all that
+// was taken has its answer, and the process ends well. SIGHUP before it moves the channel, and a bad file does not.
+func TestSignals(t *testing.T) {
+	f := newFleet(t, nil)
+	f.node.Kill()
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(s string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(s), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(file(f.channel.Addr(), f.channel.Known()))
+	read, out := io.Pipe()
+	lines := make(chan string, 1<<12)
+	go func() {
+		buf := make([]byte, 1<<16)
+		for {
+			n, err := read.Read(buf)
+			if err != nil {
+				return
+			}
+			lines <- string(buf[:n])
+		}
+	}()
+	defer func() { _ = out.Close() }()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, path, slog.New(slog.NewTextHandler(out, nil))) }()
+	line := func(of string) string {
+		t.Helper()
+		for {
+			select {
+			case l := <-lines:
+				if strings.Contains(l, of) {
+					return l
+				}
+			case <-time.After(20 * time.Second):
+				t.Fatalf("no line with %q", of)
+			}
+		}
+	}
+	_, addr, _ := strings.Cut(line("msg=serving"), "address=")
+	addr, _, _ = strings.Cut(addr, " ")
+	f.client.Base = "http://" + addr
+	if status := f.call("safe"); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	hup := func() {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(`{"name":"r","listen"`)
+	hup()
+	line("refused")
+	to, err := platform.StartChannel(`"x":1`, `"x":2`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.Stop()
+	write(file(to.Addr(), f.channel.Known()))
+	hup()
+	if n := <-to.Asked(); n != 1 {
+		t.Errorf("asked from %d at the new address", n)
+	}
+	stop() // as SIGTERM does
+	line("msg=stopping")
+	f.workers[0].Work = 0
+	began := time.Now()
+	served := 0
+	for time.Since(began) < acceptFor/2 {
+		if f.call("safe") == 200 {
+			served++
+		}
+		f.client.HTTP.CloseIdleConnections()
+	}
+	if served == 0 {
+		t.Error("nobody is served after SIGTERM")
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Fatal("the process does not end")
+	}
+	f.kept()
+}
+
+func TestConfigurationsThatAreWrongAreNamed(t *testing.T) {
+	good := file("127.0.0.1:1", `{"cursor":1,"cmds":[{"cursor":1,`+platform.Nodes(true, "a 127.0.0.1:1 active")+`}]}`)
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for old, new := range map[string]string{
+		`"seed":"8c1f30d27a5be964"`: `"seed":"x"`, `"listen":"127.0.0.1:0"`: `"listen":"nowhere"`,
+		`"channel":"127.0.0.1:1"`: `"channel":""`, `"memory_mb":64`: `"memory_mb":0`, `"sockets":256`: `"sockets":3`,
+		`"known":`: `"unknown":`, `"settings":`: `"other":`, `"read_like"`: `"odd"`, `"id":"a"`: `"id":""`,
+	} {
+		name, _, _ := strings.Cut(strings.Trim(old, `"`), `"`)
+		if _, err := Parse([]byte(strings.Replace(good, old, new, 1))); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// TestShares: what is divided never exceeds the limits, at the least and the most that the platform gives.
+func TestShares(t *testing.T) {
+	for _, c := range []Config{{Cores: 1, MemoryMB: 32, Sockets: 256}, {Cores: 0.5, MemoryMB: 192, Sockets: 1024}} {
+		s := c.Shares()
+		if s.Clients < c.Sockets/3 || s.Clients+s.Workers+24 > c.Sockets || s.Memory >= int64(c.MemoryMB)<<20 || s.Procs < 1 {
+			t.Errorf("%+v of %+v", s, c)
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -95,7 +95,8 @@
 	due    time.Duration // when the module asked to be woken; 0: not
 	quit   bool          // the loop ends once no call is left
 	killed bool
-	fns    map[string]time.Duration // when each function was last called
+	fns    map[string]time.Duration // when each function was last called,
+	most   int                      // and how many may be known before they are looked through
 	stats  Stats
 
 	// With gossip only: when each worker last gave a sign of life, and those that peers were told are silent.
@@ -308,15 +309,16 @@
 }
 
 // keepFor is how long a function is known after its last call: longer than the module has orders for it.
-const keepFor = 10 * time.Minute
+const keepFor = 3 * time.Minute
 
 // called notes a call of a function. It guards against names without end: those not called for long are
-// forgotten.
+// forgotten, each time that their number has doubled.
 func (r *Router) called(key string) {
-	if _, ok := r.fns[key]; !ok && len(r.fns)%1024 == 1023 {
+	r.fns[key] = r.now
+	if len(r.fns) > r.most {
 		maps.DeleteFunc(r.fns, func(_ string, at time.Duration) bool { return r.now-at > keepFor })
+		r.most = max(2*len(r.fns), 1024)
 	}
-	r.fns[key] = r.now
 }
 
 // drop takes a client's leaving: nothing is owed any more.
--- /dev/null
+++ b/internal/standin/platform/client.go
@@ -0,0 +1,55 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/topazfront/topazfront/internal/rules"
+)
+
+// Client is a stand-in client: it makes calls and records what comes of them.
+type Client struct {
+	Base string // "http://host:port"
+	Log  *rules.Log
+	HTTP *http.Client
+}
+
+// Call makes one call and returns the answer's status, 0 for none, and its body.
+func (c *Client) Call(id, class, function string, deadline time.Duration) (int, string) {
+	began := c.Log.Now()
+	c.Log.Add(rules.Record{Kind: rules.Asked, Call: id, Request: id, Class: class, Router: "r", Deadline: began + deadline})
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", c.Base+"/call/"+function+"/call", strings.NewReader(id))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Header.Set("X-Class", class)
+	req.Header.Set("X-Correlation-Id", id)
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("X-Operation-Key", "k"+id)
+	req.Header.Set("X-Estimate-Ms", "5")
+	req.Header.Set("X-Attrs", "memory_mb:512;lanes:2;load_ms:5")
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	answer := rules.Failed
+	switch resp.StatusCode {
+	case 200:
+		answer = rules.Served
+	case 429, 503:
+		answer = rules.Refused
+	}
+	c.Log.Add(rules.Record{Kind: rules.Answered, Call: id, Request: id, Class: class, Router: "r", Answer: answer})
+	return resp.StatusCode, string(body)
+}
--- a/internal/upstream/respback/conn.go
+++ b/internal/upstream/respback/conn.go
@@ -72,6 +72,7 @@
 	}
 	p.mu.Unlock()
 	run(ends)
+	ends = nil
 	if err != nil {
 		p.cfg.Log.Debug("no connection", "worker", w.id, "error", err)
 		return
@@ -84,7 +85,14 @@
 	}
 	p.mu.Lock()
 	c.serve()
+	if waiting := w.waiting; w.dialing == 0 { // no other connection is on its way: what is left shares those that stand
+		w.waiting = nil
+		for _, x := range waiting {
+			ends = append(ends, p.place(x))
+		}
+	}
 	p.mu.Unlock()
+	run(ends)
 }
 
 // serve takes the first that waits for a connection, where this one has nothing to do. The lock is held.
@@ -171,7 +179,11 @@
 		p.mu.Lock()
 		if c.dead || len(c.queue) == 0 {
 			c.writing = false
+			over := c.retired && len(c.open) == 0
 			p.mu.Unlock()
+			if over {
+				c.lost("retired")
+			}
 			return
 		}
 		x, now := c.queue[0], time.Now()
--- a/internal/upstream/respback/pool.go
+++ b/internal/upstream/respback/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -147,10 +148,11 @@
 // leave takes a worker out: what was not written ends, what is open is waited for.
 func (p *Pool) leave(w *worker) (ends []func()) {
 	w.left = true
-	for _, x := range w.waiting {
+	waiting := w.waiting
+	w.waiting = nil
+	for _, x := range waiting {
 		ends = append(ends, p.end(x, brain.NotSent, nil))
 	}
-	w.waiting = nil
 	for _, c := range append([]*conn(nil), w.conns...) {
 		c.retire()
 	}
@@ -291,11 +293,8 @@
 		best.enqueue(x)
 		return nil
 	}
-	if w.dialing > 0 {
-		w.waiting = append(w.waiting, x)
-		return nil
-	}
-	return p.end(x, brain.NotSent, nil)
+	w.waiting = append(w.waiting, x) // for a connection on its way, or for room: the sweep looks again
+	return nil
 }
 
 // end ends an exchange, once; the returned function tells so and must be called without the lock.
@@ -309,6 +308,8 @@
 	}
 	if c := x.c; c != nil {
 		c.remove(x)
+	} else if x.w != nil {
+		x.w.waiting = slices.DeleteFunc(x.w.waiting, func(o *exchange) bool { return o == x })
 	}
 	if x.written.IsZero() {
 		p.stats.Unwritten++
@@ -368,7 +369,17 @@
 			}
 			c.forget(now)
 		}
+		var ends []func()
+		for _, w := range p.workers {
+			if waiting := w.waiting; len(waiting) > 0 && w.dialing == 0 {
+				w.waiting = nil
+				for _, x := range waiting {
+					ends = append(ends, p.place(x))
+				}
+			}
+		}
 		p.mu.Unlock()
+		run(ends)
 		for _, c := range stalled {
 			c.broken("an answer stopped within")
 		}
--- /dev/null
+++ b/internal/upstream/respback/respback_test.go
@@ -0,0 +1,470 @@
+package respback
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/topazfront/topazfront/brain"
+	"github.com/topazfront/topazfront/internal/invoke"
+	"github.com/topazfront/topazfront/internal/roster"
+	"github.com/topazfront/topazfront/internal/router"
+	"github.com/topazfront/topazfront/internal/standin/platform"
+)
+
+// script is a decider that sends each request to the workers of a list, one after another, and notes what comes.
+type script struct {
+	to       []string
+	outcomes chan brain.Outcome
+	loaded   chan brain.Loaded
+	probed   chan brain.Probed
+	order    string // a worker that is ordered to load with each request
+	probe    string // and one that is probed
+
+	mu    sync.Mutex
+	tries map[brain.RequestID]int
+}
+
+func (s *script) Step(_ time.Duration, events []brain.Event) (out []brain.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range events {
+		switch e := e.(type) {
+		case brain.Request:
+			out = append(out, brain.Send{ID: e.ID, Worker: s.to[0]})
+			if s.order != "" {
+				out = append(out, brain.LoadOrder{Worker: s.order, Function: e.Function, Copies: 2})
+			}
+			if s.probe != "" {
+				out = append(out, brain.Probe{Worker: s.probe})
+			}
+		case brain.Outcome:
+			s.outcomes <- e
+			s.tries[e.ID]++
+			if n := s.tries[e.ID]; !e.Final && n < len(s.to) {
+				out = append(out, brain.Send{ID: e.ID, Worker: s.to[n]})
+			} else if !e.Final {
+				out = append(out, brain.Fail{ID: e.ID})
+			}
+		case brain.Dropped:
+			out = append(out, brain.Cancel{ID: e.ID})
+		case brain.Loaded:
+			s.loaded <- e
+		case brain.Probed:
+			s.probed <- e
+		}
+	}
+	return out
+}
+
+type client chan router.Final
+
+func (c client) Start(any)                         {}
+func (c client) Message(p []byte, _ func(int)) int { return len(p) }
+func (c client) Finish(f router.Final)             { c <- f }
+
+const fn = "7f3a9c21e0b4d655"
+
+type stage struct {
+	t    *testing.T
+	s    *script
+	p    *Pool
+	r    *router.Router
+	list []roster.Worker
+	n    int
+}
+
+func newStage(t *testing.T, change func(*Config), s *script, workers ...*platform.Worker) *stage {
+	t.Helper()
+	s.outcomes, s.loaded, s.probed = make(chan brain.Outcome, 64), make(chan brain.Loaded, 64), make(chan brain.Probed, 64)
+	s.tries = map[brain.RequestID]int{}
+	cfg := Config{ConnectTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, StallAfter: 10 * time.Second, MaxConns: 8,
+		MaxOpen: 32, MaxAnswer: 1 << 12, Buffer: 32 << 10}
+	if change != nil {
+		change(&cfg)
+	}
+	st := &stage{t: t, s: s, p: New(cfg)}
+	var err error
+	st.r, err = router.New(router.Config{Name: "r", OrderTimeout: 20 * time.Second, ProbeTimeout: 20 * time.Second,
+		Decider: func(brain.Settings, uint64) (router.Decider, error) { return s, nil }}, st.p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	st.p.Attach(st.r)
+	for _, w := range workers {
+		if err := w.Start("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		st.list = append(st.list, roster.Worker{Member: brain.Member{ID: w.ID}, Address: w.Addr()})
+		t.Cleanup(w.Stop)
+	}
+	st.r.SetWorkers(st.list)
+	t.Cleanup(func() { st.r.Kill(); st.p.Close() })
+	return st
+}
+
+// settle returns once the loop has followed the list: a second question is answered by a later turn than the first.
+func (st *stage) settle() {
+	st.r.Stats()
+	st.r.Stats()
+}
+
+// call submits a request.
+func (st *stage) call(left time.Duration) client {
+	c := make(client, 2)
+	st.n++
+	st.r.Submit(&router.Call{Function: fn, Class: "c", Left: left, Client: c,
+		Request: &invoke.Request{ID: fmt.Sprintf("%016x", st.n), Class: "c", Function: fn, Key: "k1", Body: []byte("body")}})
+	return c
+}
+
+func get[T any](t *testing.T, ch <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(20 * time.Second):
+		t.Fatalf("%s did not come", what)
+		panic("unreached")
+	}
+}
+
+func say(items ...string) func(platform.Request) {
+	return func(r platform.Request) {
+		if r.Verb == "exec" {
+			r.Conn.Say(append([]string{r.ID}, items...)...)
+		}
+	}
+}
+
+func raw(s string) func(platform.Request) { return func(r platform.Request) { r.Conn.Raw(s) } }
+
+// TestEvidence runs through the table of evidence.go at sockets: what a worker does, and what the router is told.
+func TestEvidence(t *testing.T) {
+	for name, c := range map[string]struct {
+		act    func(platform.Request)
+		result brain.Result
+	}{
+		"ok":                      {say("ok", "-", "answer"), brain.OK},
+		"ok with a report":        {say("ok", "company=3,meter=inflight:7;util:0.61", "answer"), brain.OK},
+		"nothing":                 {say("nothing", "-", ""), brain.Missed},
+		"refused":                 {say("refused", "-", ""), brain.Refused},
+		"error":                   {say("error", "-", ""), brain.Errored},
+		"stale":                   {say("stale", "-", ""), brain.NotSent},
+		"closed":                  {func(r platform.Request) { _ = r.Conn.Close() }, brain.Reset},
+		"noise":                   {raw("\x00\x01noise\r\n"), brain.Reset},
+		"a line without end":      {raw("*" + strings.Repeat("1", 64)), brain.Reset},
+		"3 GB announced":          {raw("*4\r\n$16\r\n0000000000000001\r\n$2\r\nok\r\n$1\r\n-\r\n$3221225472\r\nx"), brain.Reset},
+		"an unknown word":         {say("fine", "-", "answer"), brain.Reset},
+		"a word of other answers": {say("yes", "-", ""), brain.Reset},
+		"too few items":           {say("ok", "-"), brain.Reset},
+		"fields that are none":    {say("ok", "company", "answer"), brain.Reset},
+		"a figure that is none":   {say("ok", "company=NaN", "answer"), brain.Reset},
+		"a negative figure":       {say("ok", "meter=inflight:-1", "answer"), brain.Reset},
+		"a body too short": {func(r platform.Request) {
+			r.Conn.Raw("*4\r\n$16\r\n" + r.ID + "\r\n$2\r\nok\r\n$1\r\n-\r\n$9\r\nanswer\r\n*4\r\n")
+		}, brain.Reset},
+		"an unknown id ahead": {func(r platform.Request) {
+			r.Conn.Say("ffffffffffffffff", "ok", "-", "another's")
+			r.Conn.Say(r.ID, "ok", "-", "answer")
+		}, brain.OK},
+		"a second copy": {func(r platform.Request) {
+			r.Conn.Raw(strings.Repeat(platform.Message(r.ID, "ok", "-", "answer"), 2))
+		}, brain.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			st := newStage(t, nil, &script{to: []string{"w"}}, &platform.Worker{ID: "w", Act: c.act})
+			cl := st.call(15 * time.Second)
+			o := get(t, st.s.outcomes, "the outcome")
+			if o.Result != c.result || o.Final != (c.result == brain.OK) {
+				t.Errorf("outcome %+v, want result %v", o, c.result)
+			}
+			if name == "ok with a report" && (o.Company != 3 || o.Load.InFlight != 7) {
+				t.Errorf("report %+v", o)
+			}
+			f := get(t, cl, "the final answer")
+			if c.result == brain.OK && string(f.Ended.Answer) != "answer" {
+				t.Errorf("the client got %q", f.Ended.Answer)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionProvesThatNothingRan(t *testing.T) {
+	w := &platform.Worker{ID: "w"}
+	st := newStage(t, nil, &script{to: []string{"w"}}, w)
+	w.Stop()
+	st.call(15 * time.Second)
+	if o := get(t, st.s.outcomes, "the outcome"); o.Result != brain.NoConnection {
+		t.Errorf("%+v", o)
+	}
+}
+
+// TestWhatPassesOn: id, class, key and body unchanged, and the time that is left.
+func TestWhatPassesOn(t *testing.T) {
+	w := &platform.Worker{ID: "w"}
+	st := newStage(t, nil, &script{to: []string{"w"}}, w)
+	get(t, st.call(15*time.Second), "the answer")
+	r := w.Got()[0]
+	if r.Verb != "exec" || r.ID != "0000000000000001" || r.Body != "body" || r.Fields["cls"] != "c" || r.Fields["item"] != fn || r.Fields["nonce"] != "k1" {
+		t.Errorf("%+v", r)
+	}
+	if l := r.Fields["limit"]; len(l) != 5 || l > "15000" {
+		t.Errorf("limit %s", l)
+	}
+}
+
+// TestOneBrokenAnswerEndsAllOnItsConnection: the others on it may have run, too.
+func TestOneBrokenAnswerEndsAllOnItsConnection(t *testing.T) {
+	var mu sync.Mutex
+	n := 0
+	w := &platform.Worker{ID: "w", Act: func(r platform.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if n++; n == 3 {
+			r.Conn.Raw("noise\r\n")
+		}
+	}}
+	st := newStage(t, func(c *Config) { c.MaxConns = 1 }, &script{to: []string{"w"}}, w)
+	for range 3 {
+		st.call(15 * time.Second)
+	}
+	for range 3 {
+		if o := get(t, st.s.outcomes, "the outcome"); o.Result != brain.Reset {
+			t.Errorf("%+v", o)
+		}
+	}
+}
+
+// TestAnswerIsNeverAnotherAttempts: a second try of the same id at the same worker goes over another connection, so
+// that a late answer to the first, or a second copy of it, is not taken for the second's.
+func TestAnswerIsNeverAnotherAttempts(t *testing.T) {
+	var mu sync.Mutex
+	var conns []*platform.Conn
+	w := &platform.Worker{ID: "w", Act: func(r platform.Request) {
+		if r.Verb != "exec" {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if conns = append(conns, r.Conn); len(conns) == 1 {
+			r.Conn.Say(r.ID, "nothing", "-", "")
+			return
+		}
+		conns[0].Say(r.ID, "ok", "-", "late")
+		conns[1].Say(r.ID, "ok", "-", "its own")
+	}}
+	st := newStage(t, nil, &script{to: []string{"w", "w"}}, w)
+	f := get(t, st.call(15*time.Second), "the answer")
+	mu.Lock()
+	defer mu.Unlock()
+	if string(f.Ended.Answer) != "its own" || conns[0] == conns[1] {
+		t.Errorf("answer %q, same connection %v", f.Ended.Answer, conns[0] == conns[1])
+	}
+}
+
+// TestGivenUp: what was written is dropped, and its answer, come late, is no other request's.
+func TestGivenUp(t *testing.T) {
+	dropped := make(chan platform.Request, 1)
+	var mu sync.Mutex
+	var first platform.Request
+	w := &platform.Worker{ID: "w"}
+	w.Act = func(r platform.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case r.Verb == "drop":
+			first.Conn.Say(first.ID, "ok", "-", "late")
+			dropped <- r
+		case first.ID == "":
+			first = r
+		default:
+			r.Conn.Say(r.ID, "ok", "-", "second")
+		}
+	}
+	st := newStage(t, func(c *Config) { c.MaxConns = 1 }, &script{to: []string{"w"}}, w)
+	c := make(client, 1)
+	drop, _ := st.r.Submit(&router.Call{Function: fn, Class: "c", Left: 15 * time.Second, Client: c,
+		Request: &invoke.Request{ID: strings.Repeat("a", 16), Class: "c", Function: fn}})
+	get(t, w.Came(), "the attempt")
+	drop()
+	if o := get(t, st.s.outcomes, "the outcome"); o.Result != brain.Cancelled {
+		t.Errorf("%+v", o)
+	}
+	if r := get(t, dropped, "the drop"); r.ID != strings.Repeat("a", 16) {
+		t.Errorf("dropped %q", r.ID)
+	}
+	if f := get(t, st.call(15*time.Second), "the second's answer"); string(f.Ended.Answer) != "second" {
+		t.Errorf("%q", f.Ended.Answer)
+	}
+}
+
+// hold puts an exchange on its way that can't be written yet: its worker's one connection is still being opened.
+func hold(t *testing.T, st *stage, kind kind) (x *exchange, ended chan brain.Result) {
+	t.Helper()
+	ended = make(chan brain.Result, 1)
+	x = &exchange{p: st.p, kind: kind, id: "held", until: time.Now().Add(15 * time.Second),
+		form: func(time.Duration) []byte { return loadOf("held") },
+		done: func(r brain.Result, _ *answer) { ended <- r }}
+	st.p.mu.Lock()
+	defer st.p.mu.Unlock()
+	w := st.p.workers["w"]
+	x.w = w
+	w.dialing++ // stands for a connect that hangs
+	st.p.dialing++
+	w.waiting = append(w.waiting, x)
+	return x, ended
+}
+
+// TestASendIsCheckedWhenItIsWritten: while a connect hung its worker began to drain, left, was replaced at its
+// address or under its id, or the time ran out. Nothing is written then, and that is told as proof.
+func TestASendIsCheckedWhenItIsWritten(t *testing.T) {
+	for name, change := range map[string]func(st *stage, x *exchange){
+		"drains":               func(st *stage, _ *exchange) { st.list[0].State = brain.Draining },
+		"left":                 func(st *stage, _ *exchange) { st.list = nil },
+		"new process":          func(st *stage, _ *exchange) { st.list[0].Started = time.Hour },
+		"new one, old address": func(st *stage, _ *exchange) { st.list[0].ID = "other" },
+		"time ran out": func(st *stage, x *exchange) {
+			st.p.mu.Lock()
+			x.until = time.Now()
+			st.p.mu.Unlock()
+		},
+	} {
+		for _, k := range []kind{exec, order} {
+			t.Run(fmt.Sprint(name, " ", k), func(t *testing.T) {
+				t.Parallel()
+				w := &platform.Worker{ID: "w"}
+				st := newStage(t, nil, &script{to: []string{"w"}}, w)
+				st.settle()
+				x, ended := hold(t, st, k)
+				change(st, x)
+				st.r.SetWorkers(st.list)
+				st.settle()
+				st.p.dial(x.w) // the connect comes up
+				if res := get(t, ended, "the end"); res != brain.NotSent {
+					t.Errorf("result %v", res)
+				}
+				if got := w.Got(); len(got) > 0 {
+					t.Errorf("the worker got %v", got)
+				}
+			})
+		}
+	}
+}
+
+// TestWhatWaitedIsWrittenWhereNothingChanged is the mutation of the test above: it can fail.
+func TestWhatWaitedIsWrittenWhereNothingChanged(t *testing.T) {
+	w := &platform.Worker{ID: "w"}
+	st := newStage(t, nil, &script{to: []string{"w"}}, w)
+	st.settle()
+	x, _ := hold(t, st, probe)
+	st.p.dial(x.w)
+	get(t, w.Came(), "what waited")
+}
+
+// TestConnectionThatFellSilentWithinAnAnswer: it is ended, and what is open on it may have run.
+func TestConnectionThatFellSilentWithinAnAnswer(t *testing.T) {
+	w := &platform.Worker{ID: "w", Act: raw("*4\r\n$16\r\n")}
+	st := newStage(t, func(c *Config) { c.StallAfter = 50 * time.Millisecond }, &script{to: []string{"w"}}, w)
+	st.call(15 * time.Second)
+	if o := get(t, st.s.outcomes, "the outcome"); o.Result != brain.Reset {
+		t.Errorf("%+v", o)
+	}
+}
+
+// TestResetWhileIdleIsNoHarm: a request that finds its connection reset before a byte was taken goes over another.
+func TestResetWhileIdleIsNoHarm(t *testing.T) {
+	w := &platform.Worker{ID: "w"}
+	st := newStage(t, nil, &script{to: []string{"w"}}, w)
+	get(t, st.call(15*time.Second), "the first answer")
+	get(t, st.s.outcomes, "its outcome")
+	for _, r := range w.Got() {
+		_ = r.Conn.Close()
+	}
+	for range 20 {
+		f := get(t, st.call(15*time.Second), "an answer")
+		if o := get(t, st.s.outcomes, "the outcome"); o.Result == brain.OK && string(f.Ended.Answer) == "done body" {
+			return
+		}
+	}
+	t.Error("no answer after a reset")
+}
+
+func TestOrdersAndProbes(t *testing.T) {
+	w := &platform.Worker{ID: "w"}
+	st := newStage(t, nil, &script{to: []string{"w"}, order: "w", probe: "w"}, w)
+	get(t, st.call(15*time.Second), "the answer")
+	if o := get(t, st.s.loaded, "the order's end"); o.Result != brain.OK || o.Copies != 2 || o.Function != fn {
+		t.Errorf("%+v", o)
+	}
+	if o := get(t, st.s.probed, "the probe's end"); o.Result != brain.OK || o.Load.InFlight != 1 {
+		t.Errorf("%+v", o)
+	}
+	for _, r := range w.Got() {
+		if r.Verb == "ensure" && (r.Fields["item"] != fn || r.Fields["slots_up"] != "2") {
+			t.Errorf("%+v", r)
+		}
+	}
+}
+
+// TestBounds: connections to all workers stay within the bound, idle ones end, and the ids remembered are let go.
+func TestBounds(t *testing.T) {
+	release := make(chan struct{})
+	w := &platform.Worker{ID: "w"}
+	w.Act = func(r platform.Request) {
+		go func() {
+			<-release
+			r.Conn.Say(r.ID, "ok", "-", "")
+		}()
+	}
+	st := newStage(t, func(c *Config) { c.MaxConns, c.MaxOpen, c.IdleClose = 3, 100, 50*time.Millisecond }, &script{to: []string{"w"}}, w)
+	for range 40 {
+		st.call(15 * time.Second)
+	}
+	for range 40 {
+		get(t, w.Came(), "an attempt")
+	}
+	if s := st.p.Stats(); s.Conns > 3 || s.Open != 40 {
+		t.Errorf("%+v", s)
+	}
+	close(release)
+	for range 40 {
+		get(t, st.s.outcomes, "an outcome")
+	}
+	for range 2000 {
+		if st.p.Stats().Conns == 0 && w.Conns() == 0 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Errorf("idle connections stay: %+v", st.p.Stats())
+}
+
+func TestUsedIdsAreLetGo(t *testing.T) {
+	c := &conn{open: map[string]*exchange{"open": {}}, used: map[string]int64{"old": 1, "open": 1, "new": 1 << 40}, w: &worker{}}
+	c.forget(time.Now())
+	if len(c.used) != 2 || c.used["old"] != 0 {
+		t.Errorf("%v", c.used)
+	}
+	for i := range maxUsed {
+		c.used[fmt.Sprint(i)] = 1 << 40
+	}
+	if c.forget(time.Now()); !c.retired {
+		t.Error("a connection that remembers too much takes more")
+	}
+}
+
+// FuzzAnswer: no answer panics the reader of its words.
+func FuzzAnswer(f *testing.F) {
+	f.Add("id", "ok", "company=1,meter=inflight:7;util:0.61", "body")
+	f.Add("id", "refused", "-", "")
+	f.Fuzz(func(t *testing.T, id, word, fields, body string) {
+		a, err := readAnswer([][]byte{[]byte(id), []byte(word), []byte(fields), []byte(body)})
+		if err == nil && (a.id != id || words[a.word] == nil || a.report.Company < -1) {
+			t.Fatalf("%+v", a)
+		}
+	})
+}
