Router's view beside the sockets': time waited and on the wire; a listener without descriptors

Need: is what the module is told of load and health what crosses the sockets? Change: the state line has attempts out by the router's count beside those open at the sockets, and for served calls what the module was told beside the wait for a connection and the time on the wire.

A listener that finds no descriptor gives up one in reserve and closes the connection that waits: netpoll stops accepting for up to a second. Idle clients end at 4.5 s: at 6 s keepers filled the bound (2,942 evicted of some 25,000).

--- /dev/null
+++ b/brain/churn_test.go
@@ -0,0 +1,66 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestWorkersThatHaveGoneAreForgotten: in a fleet whose workers are replaced all day by others under new ids, what is
+// kept of workers and of functions at them stays that of the fleet.
+func TestWorkersThatHaveGoneAreForgotten(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	r := newRig(t, s, "a0", "b0", "c0")
+	for day := range 200 {
+		for f := range 5 {
+			id, out := r.call(fmt.Sprint("f", f), "safe")
+			for _, a := range all[Send](out) {
+				r.step(Outcome{ID: id, Worker: a.Worker, Result: OK, Took: 50 * time.Millisecond, Final: true, Company: -1, Load: NoLoad})
+			}
+		}
+		r.after(50 * time.Millisecond)
+		old, gone := fmt.Sprint("b", day), fmt.Sprint("b", day+1)
+		r.step(Roster{Members: []Member{{ID: old, Kind: "big", State: Gone}, {ID: gone, Kind: "big", Cell: 0}}})
+	}
+	if n := len(r.d.workers); n > 4 {
+		t.Errorf("%d workers are kept of a fleet of 3", n)
+	}
+	for _, f := range r.d.order {
+		if n := len(f.places); n > 4 {
+			t.Errorf("function %s keeps %d places at a fleet of 3", f.key, n)
+		}
+	}
+}
+
+// TestWhoWaitsForAWorkerThatGoesIsLetGo: a request that waits on a load there is sent to another at once.
+func TestWhoWaitsForAWorkerThatGoesIsLetGo(t *testing.T) {
+	r := newRig(t, settings(), "a", "b")
+	id, out := r.call("f", "safe")
+	first := r.sent(out).Worker
+	out = r.step(Outcome{ID: id, Worker: first, Result: Missed, Took: time.Millisecond, Company: -1, Load: NoLoad})
+	if len(all[LoadOrder](out)) != 1 || len(all[Send](out)) != 0 {
+		t.Fatalf("after the miss: %v", out)
+	}
+	other := map[string]string{"a": "b", "b": "a"}[first]
+	out = r.step(Roster{Members: []Member{{ID: first, Kind: "big", State: Gone}}})
+	if s := all[Send](out); len(s) != 1 || s[0].Worker != other {
+		t.Errorf("after it went: %v", out)
+	}
+}
+
+// TestNamesWithoutEnd: names that anyone makes up, and that no worker ever answers for, are not kept for long.
+func TestNamesWithoutEnd(t *testing.T) {
+	r := newRig(t, settings(), "a", "b")
+	for i := range 3000 {
+		id, out := r.call(fmt.Sprint("made up ", i), "safe")
+		for _, a := range all[Send](out) {
+			r.step(Outcome{ID: id, Worker: a.Worker, Result: Errored, Took: time.Millisecond, Company: -1, Load: NoLoad})
+		}
+		r.now += 10 * time.Millisecond
+	}
+	r.after(forgetNew + 2*roundEvery + 4*time.Second)
+	if n := len(r.d.fns); n > 0 {
+		t.Errorf("%d names are kept", n)
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -25,7 +25,7 @@
 // Times of this package and the parts it puts together. They are bounds of form: none decides where a call goes.
 const (
 	firstWithin  = 1500 * time.Millisecond // a client's first request must be whole by then
-	idleClient   = 6 * time.Second         // beyond the 4 s after which clients close by themselves
+	idleClient   = 4500 * time.Millisecond // beyond the 4 s after which clients close by themselves
 	writeWithin  = time.Second             // a peer must take what it is sent
 	stallWithin  = 250 * time.Millisecond  // an answer that began must be whole
 	channelBlock = time.Second             // the command channel may hold a question for so long,
@@ -188,11 +188,13 @@
 // report logs what the router holds and has done.
 func (n *Node) report() {
 	r, f, p, c := n.router.Stats(), n.front.Stats(), n.pool.Stats(), n.feed.Stats()
+	each := func(d time.Duration) float64 { return d.Seconds() * 1000 / float64(max(r.Served, 1)) }
 	n.log.Info("state", "calls", r.Calls, "served", r.Served, "refused", r.Refused, "failed", r.Failed, "dropped", r.Dropped,
 		"attempts", r.Attempts, "orders", r.Orders, "probes", r.Probes, "open", r.Open, "clients", f.Conns, "bad", f.Bad,
 		"evicted", f.Evicted, "worker_conns", p.Conns, "worker_open", p.Open, "waiting", p.Waiting, "dials", p.Dials,
 		"dials_failed", p.Failed, "broken", p.Broken, "unwritten", p.Unwritten, "late", p.Late, "cursor", c.Cursor,
-		"questions", c.Questions, "channel_broken", c.Broken)
+		"questions", c.Questions, "channel_broken", c.Broken,
+		"out", r.Out, "module_ms", each(r.Took), "waited_ms", each(p.Waited), "wire_ms", each(p.Wire))
 }
 
 // quiet takes netpoll's own log lines.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -109,7 +109,8 @@
 type Stats struct {
 	Calls, Served, Refused, Failed, Dropped uint64
 	Attempts, Orders, Probes, Looks         uint64
-	Open                                    int
+	Open, Out                               int           // calls, and attempts, in hand
+	Took                                    time.Duration // that served attempts took, as the module was told, in all
 }
 
 // epoch is what the clock shows at a router's start, so that start times of workers lie in the past.
@@ -362,6 +363,7 @@
 		return
 	}
 	r.stats.Attempts++
+	r.stats.Out++
 	r.cfg.Log.Debug("attempt", "call", e.id, "attempt", t.n, "worker", t.worker, "class", e.call.Class)
 	t.timer.Value = func() { r.late(t) }
 	r.wheel.Add(&t.timer, r.now+left)
@@ -397,7 +399,12 @@
 	if t.ended {
 		return
 	}
-	r.wheel.Remove(&t.timer)
+	if r.wheel.Remove(&t.timer); t.handle != nil {
+		r.stats.Out--
+	}
+	if how.Result == brain.OK {
+		r.stats.Took += r.now - t.sent
+	}
 	if t.late && how.Result == brain.Cancelled {
 		how.Result = brain.TimedOut
 	}
--- a/internal/transport/listen/listen.go
+++ b/internal/transport/listen/listen.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 )
@@ -21,6 +22,10 @@
 	once    sync.Once
 	started chan struct{} // closed when the event loop has taken the descriptor
 	begin   sync.Once
+
+	mu    sync.Mutex
+	spare *os.File // given up for a moment where the system has no descriptor left
+	shed  uint64
 }
 
 // On opens a listener, on "tcp" or "unix".
@@ -44,6 +49,10 @@
 		_ = l.Close()
 		return nil, err
 	}
+	if l.spare, err = os.Open(os.DevNull); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
 	return l, nil
 }
 
@@ -67,6 +76,9 @@
 	case nil:
 	case syscall.EAGAIN, syscall.EINTR, syscall.ECONNABORTED:
 		return nil, nil
+	case syscall.EMFILE, syscall.ENFILE:
+		l.turnAway()
+		return nil, nil
 	default:
 		return nil, err
 	}
@@ -83,9 +95,40 @@
 	return a, nil
 }
 
+// turnAway closes the connection that waits first, where the system has no descriptor left for it. It guards against
+// an event loop that spins on a connection that it can't take, and against one that stops accepting for a while: a
+// descriptor held in reserve is given up for the connection, which is closed at once.
+func (l *Listener) turnAway() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.spare != nil {
+		_ = l.spare.Close()
+		l.spare = nil
+	}
+	if fd, _, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); err == nil {
+		_ = syscall.Close(fd)
+		l.shed++
+	} else if err != syscall.EAGAIN {
+		time.Sleep(time.Millisecond) // nothing can be given up: other work must free a descriptor
+	}
+	l.spare, _ = os.Open(os.DevNull)
+}
+
+// Shed tells how many connections were closed because no descriptor was left for them.
+func (l *Listener) Shed() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shed
+}
+
 // Close ends the listener, once.
 func (l *Listener) Close() (err error) {
 	l.once.Do(func() {
+		l.mu.Lock()
+		if l.spare != nil {
+			_ = l.spare.Close()
+		}
+		l.mu.Unlock()
 		err = l.file.Close()
 		if e := l.Listener.Close(); err == nil {
 			err = e
--- a/internal/upstream/respback/pool.go
+++ b/internal/upstream/respback/pool.go
@@ -49,6 +49,7 @@
 type Stats struct {
 	Conns, Open, Waiting                                      int
 	Written, Answered, Late, Unwritten, Dials, Failed, Broken uint64
+	Waited, Wire                                              time.Duration // of served attempts: until they were written, and from then on
 }
 
 // worker is one worker's life at one address. A new one at the same address, or a new process under the same id,
@@ -81,6 +82,7 @@
 	w     *worker
 	until time.Time // of no use when written later
 	tries int       // connections that took no byte of it
+	began time.Time
 	form  func(left time.Duration) []byte
 	done  func(brain.Result, *answer)
 
@@ -179,7 +181,8 @@
 // Send implements router.Upstream.
 func (p *Pool) Send(token router.Token, c *router.Call, id string, _ int, left time.Duration) router.Attempt {
 	req, _ := c.Request.(*invoke.Request)
-	x := &exchange{p: p, kind: exec, until: time.Now().Add(left)}
+	x := &exchange{p: p, kind: exec, began: time.Now()}
+	x.until = x.began.Add(left)
 	x.done = func(res brain.Result, a *answer) {
 		how := router.Ended{Result: res, Report: router.NoReport}
 		if a != nil {
@@ -315,6 +318,10 @@
 		p.stats.Unwritten++
 	} else if a != nil {
 		p.stats.Answered++
+		if x.kind == exec && res == brain.OK {
+			p.stats.Waited += x.written.Sub(x.began)
+			p.stats.Wire += time.Since(x.written)
+		}
 	}
 	if a != nil && a.body != nil {
 		b := *a
