A class that hangs at a worker rests there; held requests no longer fill the router's core

Ruled out: the exit (waited 0.02 ms, out = open), a silent worker (others were answered there, so the doubt stays down), the list (one drain, one start as before). Wrong: nothing rests a class but errors and refusals. Change: after eight attempts of a class overdue in a row at a worker that was heard since, it rests there, and what is overdue is tried elsewhere within the retry budget.

Change: one held request speaks for its function's late ones too, the sum is made only where the silence is long enough, times are cut from the front; log lines that nobody reads are not made.

Not kept: the collector at 400 per cent: processor time the same, memory 12 MB to 23.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -32,6 +32,7 @@
 	crowdMost   = 4.0                    // most crowding, in logs
 	reportGain  = 0.05                   // weight of one report in the mean of all
 	barredFor   = 3 * time.Second        // first rest of a class at a worker, doubled each time
+	silentRow   = 8                      // attempts of a class overdue in a row that rest it at a worker
 	unitStep    = 1.5                    // most that one answer may be off, in logs: heavy tails say little
 	doubtPhi    = 6                      // expected answers overdue before a silent worker is doubted
 	doubtAfter  = 400 * time.Millisecond // shortest silence that raises a doubt: longer than a usual stall
@@ -99,8 +100,9 @@
 
 // bar is a class's rest at a worker.
 type bar struct {
-	till  time.Duration
-	times int
+	till   time.Duration
+	times  int
+	silent int // attempts overdue in a row, while others were answered
 }
 
 // part is a worker's share of a function.
@@ -126,7 +128,7 @@
 	Request
 	fn                   *function
 	class                *class
-	came                 time.Duration
+	came, latest         time.Duration // latest: its place among those held
 	deadline             time.Duration
 	attempts             []*attempt
 	out, holds           int
@@ -259,7 +261,9 @@
 		if r != nil && d.now >= r.deadline {
 			d.conclude(r)
 		} else if r != nil && r.out > 0 {
-			d.release(r.attempts[len(r.attempts)-1])
+			last := r.attempts[len(r.attempts)-1]
+			d.release(last)
+			d.unheard(last)
 		} else if r != nil && r.wanted {
 			d.route(r)
 		}
@@ -335,8 +339,8 @@
 	}
 }
 
-// bury forgets the workers that have gone and have no own attempt out, and lets the requests go that waited for
-// one. It guards against a fleet whose workers are replaced all day by others under new ids.
+// bury forgets the workers that have gone and have no own attempt out, and lets the requests go that waited
+// for one. It guards against a fleet whose workers are replaced all day by others under new ids.
 func (d *Dispatcher) bury() {
 	dead := map[string]bool{}
 	for id, w := range d.workers {
@@ -623,8 +627,12 @@
 // trim drops what lies before the span of the load ration.
 func (d *Dispatcher) trim() {
 	from := d.now - d.set.LoadSpan
-	d.calls = slices.DeleteFunc(d.calls, func(at time.Duration) bool { return at <= from })
-	d.orders = slices.DeleteFunc(d.orders, func(at time.Duration) bool { return at < from })
+	for len(d.calls) > 0 && d.calls[0] <= from {
+		d.calls = d.calls[1:]
+	}
+	for len(d.orders) > 0 && d.orders[0] < from {
+		d.orders = d.orders[1:]
+	}
 }
 
 // loaded takes the answer to an order and lets the requests go that waited on it.
@@ -752,22 +760,23 @@
 func (d *Dispatcher) retry() {
 	held := d.held
 	d.held = nil
-	latest := func(r *request) time.Duration { // when it came, hours ago if it is late
-		if d.late(r) {
-			return r.came - forgetAfter
+	for _, r := range held { // hours ago if it is late
+		if r.latest = r.came; d.late(r) {
+			r.latest -= forgetAfter
 		}
-		return r.came
 	}
-	slices.SortStableFunc(held, func(a, b *request) int { return cmp.Compare(latest(b), latest(a)) })
+	slices.SortStableFunc(held, func(a, b *request) int { return cmp.Compare(b.latest, a.latest) })
 	stays := map[*function]bool{}
 	for _, r := range slices.Compact(held) {
-		switch n := len(d.held); {
+		switch n, late := len(d.held), r.latest < r.came; {
 		case r.done || !r.wanted || r.out > 0:
-		case stays[r.fn] && len(r.attempts) == 0 && !d.late(r):
+		case stays[r.fn] && len(r.attempts) == 0 && late:
+			d.conclude(r)
+		case stays[r.fn] && len(r.attempts) == 0:
 			d.held = append(d.held, r)
 		default:
 			d.route(r)
-			if stays[r.fn] = len(d.held) > n; stays[r.fn] && d.late(r) {
+			if stays[r.fn] = len(d.held) > n; stays[r.fn] && late {
 				d.conclude(r)
 				d.held = d.held[:n]
 			}
@@ -835,7 +844,7 @@
 		d.learn(r, a, e)
 		d.work += r.class.work
 		d.answers++
-		w.bars[r.class] = bar{w.bars[r.class].till, max(w.bars[r.class].times-1, 0)}
+		w.bars[r.class] = bar{till: w.bars[r.class].till, times: max(w.bars[r.class].times-1, 0)}
 		p.warmTill, p.failures = max(p.warmTill, d.now+d.set.IdleKeep), 0
 	case Missed:
 		p.warmTill = 0
@@ -934,12 +943,12 @@
 // units of their expected time since it was last heard (an accrual failure detector). A doubted worker is
 // asked now and then; any answer clears it.
 func (d *Dispatcher) doubt(w *worker) bool {
-	if !w.doubted && len(w.open) > 0 {
+	if !w.doubted && len(w.open) > 0 && d.now-max(w.heard, w.open[0].sent) > doubtAfter {
 		phi := 0.0
 		for _, a := range w.open {
 			phi += (d.now - max(a.sent, w.heard)).Seconds() / max(a.expected, 0.02)
 		}
-		if phi > doubtPhi && d.now-max(w.heard, w.open[0].sent) > doubtAfter {
+		if phi > doubtPhi {
 			d.suspect(w)
 		}
 	}
@@ -984,10 +993,43 @@
 // walk then passes the worker over for it. Its other classes are served as usual. It hurts where an error was
 // the request's own.
 func (d *Dispatcher) bar(w *worker, c *class) {
-	w.bars[c] = bar{d.now + d.spread(barredFor, w.bars[c].times), w.bars[c].times + 1}
+	w.bars[c] = bar{till: d.now + d.spread(barredFor, w.bars[c].times), times: w.bars[c].times + 1}
 	d.tell(Doubt{Worker: w.ID, Class: c.Name})
 }
 
+// unheard rests a class at a worker that answers others and leaves this class without any, several attempts
+// in a row: the doubt never sees it, as the worker is heard. What is overdue there is tried elsewhere, where
+// it may be, within the retry budget. It hurts where a class's requests take far longer than their hints.
+func (d *Dispatcher) unheard(a *attempt) {
+	w, c := a.w, a.r.class
+	overdue := func(a *attempt) time.Duration {
+		return a.sent + time.Duration((a.expected+patience*d.took)*float64(time.Second))
+	}
+	if a.ended || a.r.done || a.r.began != nil || d.now < w.bars[c].till {
+		return
+	}
+	if at := overdue(a); at > d.now {
+		d.wakeAt(a.r, at)
+		return
+	}
+	b := w.bars[c]
+	if w.heard <= a.sent {
+		return
+	}
+	if b.silent++; b.silent < silentRow {
+		w.bars[c] = b
+		return
+	}
+	d.bar(w, c)
+	for _, o := range slices.Clone(w.open) {
+		if o.r.class == c && !o.r.done && o.r.out == 1 && d.now >= overdue(o) && d.budget >= 1 {
+			sent := len(o.r.attempts)
+			d.route(o.r)
+			d.budget -= float64(len(o.r.attempts) - sent)
+		}
+	}
+}
+
 // spread is a rest that doubles each time, never two routers' in step.
 func (d *Dispatcher) spread(first time.Duration, times int) time.Duration {
 	return time.Duration(float64(first) * math.Exp2(float64(min(times, 4))) * (0.75 + d.rng.Float64()/2))
--- /dev/null
+++ b/brain/silence_test.go
@@ -0,0 +1,89 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAClassThatAWorkerLeavesWithoutAnswersRestsThere: worker by worker a class may hang while others are answered.
+// The worker is heard, so the doubt never sees it. What is overdue there is tried elsewhere where that does no harm.
+func TestAClassThatAWorkerLeavesWithoutAnswersRestsThere(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	s.Classes[0].Effect, s.Classes[2].Effect = Safe, Unsafe
+	r := newRig(t, s, "a", "b")
+	open := map[RequestID]Send{}
+	var carry func(out []Action)
+	late := map[RequestID]int{} // sends of the class that hangs, by request
+	hung := 0
+	carry = func(out []Action) {
+		for _, a := range all[Send](out) {
+			class := "once"
+			if late[a.ID] > 0 {
+				class = "safe"
+				late[a.ID]++
+			}
+			if class == "safe" && a.Worker == "a" {
+				hung++
+				open[a.ID] = a
+				continue
+			}
+			r.now += time.Millisecond
+			carry(r.step(Outcome{ID: a.ID, Attempt: max(late[a.ID]-2, 0), Worker: a.Worker, Result: OK, Took: 20 * time.Millisecond,
+				Final: true, Company: -1, Load: NoLoad}))
+		}
+	}
+	call := func(class string) {
+		r.next++
+		if class == "safe" {
+			late[r.next] = 1
+		}
+		carry(r.step(Request{ID: r.next, Function: "f" + class, Class: class, MemoryMB: 300, Lanes: 1,
+			Work: 20 * time.Millisecond, Left: 3 * time.Second}))
+	}
+	for range 100 {
+		call("safe")
+		call("once")
+		carry(r.after(20 * time.Millisecond))
+	}
+	a := r.d.workers["a"]
+	if b := a.bars[r.d.classes["safe"]]; hung > 0 && b.times == 0 {
+		t.Fatalf("%d requests hung at a, and the class goes on there", hung)
+	}
+	if a.doubted || a.bars[r.d.classes["once"]].times > 0 {
+		t.Error("a's other class suffers")
+	}
+	again := 0
+	for _, n := range late {
+		if n > 2 {
+			again++
+		}
+	}
+	// At 45 a second, those of the first second are overdue only once a load could have ended.
+	if hung == 0 || hung > 60 || again == 0 {
+		t.Errorf("%d of 100 requests hung at a, %d of them were tried elsewhere", hung, again)
+	}
+}
+
+// TestOneAnswerEndsTheRow: lost requests now and then, with answers between, rest nothing.
+func TestOneAnswerEndsTheRow(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	r := newRig(t, s, "a", "b")
+	for i := range 200 {
+		id, out := r.call("f", "safe")
+		for _, a := range all[Send](out) {
+			if i%7 == 0 {
+				continue // never answered
+			}
+			r.now += time.Millisecond
+			r.step(Outcome{ID: id, Worker: a.Worker, Result: OK, Took: 20 * time.Millisecond, Final: true, Company: -1, Load: NoLoad})
+		}
+		r.after(20 * time.Millisecond)
+	}
+	for _, w := range r.d.list {
+		if b := w.bars[r.d.classes["safe"]]; b.times > 0 {
+			t.Errorf("%s rests the class, %+v", w.ID, b)
+		}
+	}
+}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -251,19 +251,30 @@
 	return out
 }
 
-// TestTheCheckCanFail breaks rules on purpose, in what decides or in what the parties record, and sees each found.
+// TestTheCheckCanFail breaks each rule on purpose, in what decides or in what the router is told, and sees it found.
 func TestTheCheckCanFail(t *testing.T) {
-	for rule, about := range map[int]string{1: "a refusal of a call that ran, and late", 2: "an effect twice", 5: "orders without ration"} {
+	for rule, about := range map[int]string{1: "sent on after the final answer", 2: "an effect twice", 3: "a drain not heard of",
+		4: "a fresh start not heard of", 5: "orders without ration"} {
 		t.Run(about, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, func(brain.Settings, uint64) (router.Decider, error) { return &breaker{rule: rule}, nil })
+			site := f.site()
+			switch rule {
+			case 3:
+				f.log.Add(rules.Record{Kind: rules.Told, Router: "r", Worker: "a", Off: true})
+				site.DrainGrace, site.Slack = 0, 0
+			case 4:
+				f.log.Add(rules.Record{Kind: rules.Started, Worker: "a"})
+				site.ColdFor, site.ColdShare, site.FallMultiple, site.FallSpan = time.Hour, 0.2, 3, 1500*time.Millisecond
+				site.Capacity = map[string]float64{"a": 0.001}
+			}
 			f.calls(20)
 			records := f.log.Records()
-			if rule == 1 { // a worker gets the call long after its final answer
+			if rule == 1 {
 				last := records[len(records)-1]
 				records = append(records, rules.Record{At: last.At + 2*time.Second, Kind: rules.Got, Router: "r", Call: last.Call, Worker: "a"})
 			}
-			found := rules.Check(f.site(), records)
+			found := rules.Check(site, records)
 			if !slices.ContainsFunc(found, func(b rules.Breach) bool { return b.Rule == rule }) {
 				t.Errorf("rule %d broken on purpose, and found %v", rule, found)
 			}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,6 +5,7 @@
 package router
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"maps"
@@ -98,6 +99,7 @@
 	fns    map[string]time.Duration // when each function was last called,
 	most   int                      // and how many may be known before they are looked through
 	stats  Stats
+	debug  bool // the log takes lines of each call
 
 	// With gossip only: when each worker last gave a sign of life, and those that peers were told are silent.
 	peers  Peers
@@ -131,7 +133,7 @@
 	r := &Router{cfg: cfg, up: up, begin: time.Now(), wake: make(chan struct{}, 1), ended: make(chan struct{}),
 		core: core, roster: roster.New(cfg.Roster), calls: map[brain.RequestID]*entry{},
 		wheel: wheel.New(time.Millisecond, epoch), fns: map[string]time.Duration{}, heard: map[string]time.Duration{},
-		silent: map[string]bool{}}
+		silent: map[string]bool{}, debug: cfg.Log.Enabled(context.Background(), slog.LevelDebug)}
 	go r.loop()
 	return r, nil
 }
@@ -364,7 +366,9 @@
 	}
 	r.stats.Attempts++
 	r.stats.Out++
-	r.cfg.Log.Debug("attempt", "call", e.id, "attempt", t.n, "worker", t.worker, "class", e.call.Class)
+	if r.debug {
+		r.cfg.Log.Debug("attempt", "call", e.id, "attempt", t.n, "worker", t.worker, "class", e.call.Class)
+	}
 	t.timer.Value = func() { r.late(t) }
 	r.wheel.Add(&t.timer, r.now+left)
 	t.handle = r.up.Send(Token{t}, e.call, a.Worker, t.n, left)
@@ -437,7 +441,9 @@
 		return
 	}
 	r.stats.Orders++
-	r.cfg.Log.Debug("order", "worker", a.Worker, "function", a.Function, "copies", a.Copies)
+	if r.debug {
+		r.cfg.Log.Debug("order", "worker", a.Worker, "function", a.Function, "copies", a.Copies)
+	}
 	r.up.Load(a.Worker, a.Function, a.Copies, r.cfg.OrderTimeout, func(o Order) {
 		r.post(func() {
 			r.alive(a.Worker, o.Result)
