--- a/internal/standin/platform/worker.go
+++ b/internal/standin/platform/worker.go
@@ -227,7 +227,7 @@
 	items := make([]string, n)
 	for i := range items {
 		size, err := length('$')
-		if err != nil || size < 0 || size > 1<<20 {
+		if err != nil || size < 0 || size > 64<<20 {
 			return nil, errors.Join(err, errors.New("no bulk string"))
 		}
 		b := make([]byte, size+2)
--- a/internal/upstream/respback/respback_test.go
+++ b/internal/upstream/respback/respback_test.go
@@ -1,7 +1,10 @@
 package respback
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -365,6 +368,68 @@
 	get(t, w.Came(), "what waited")
 }
 
+// TestASendBehindABlockedWriteIsCheckedAgain: a worker does not read, so that one request fills the socket and another
+// waits behind it. By the time that the socket takes bytes again the worker drains: only the first is written.
+func TestASendBehindABlockedWriteIsCheckedAgain(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	read, got := make(chan struct{}), make(chan string, 8)
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		<-read
+		for in := bufio.NewReader(nc); ; {
+			m, err := platform.ReadMessage(in)
+			if err != nil {
+				return
+			}
+			got <- m[1]
+			_, _ = io.WriteString(nc, platform.Message(m[1], "ok", "-", "answer"))
+		}
+	}()
+	st := newStage(t, func(c *Config) { c.MaxConns = 1 }, &script{to: []string{"w"}})
+	st.list = []roster.Worker{{Member: brain.Member{ID: "w"}, Address: ln.Addr().String()}}
+	st.r.SetWorkers(st.list)
+	until := func(what string, ok func(Stats) bool) {
+		t.Helper()
+		for range 4000 {
+			if ok(st.p.Stats()) {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Fatalf("%s: %+v", what, st.p.Stats())
+	}
+	big := make(client, 1)
+	st.r.Submit(&router.Call{Function: fn, Class: "c", Left: 30 * time.Second, Client: big,
+		Request: &invoke.Request{ID: strings.Repeat("a", 16), Class: "c", Function: fn, Body: make([]byte, 32<<20)}})
+	until("the first is being written", func(s Stats) bool { return s.Written == 1 })
+	small := st.call(30 * time.Second)
+	until("the second waits", func(s Stats) bool { return s.Waiting == 1 })
+	st.list[0].State = brain.Draining
+	st.r.SetWorkers(st.list)
+	st.settle()
+	close(read)
+	if f := get(t, big, "the first's answer"); string(f.Ended.Answer) != "answer" {
+		t.Errorf("%+v", f)
+	}
+	get(t, small, "the second's final answer")
+	for range 2 {
+		if o := get(t, st.s.outcomes, "an outcome"); o.Result != brain.OK && o.Result != brain.NotSent {
+			t.Errorf("%+v", o)
+		}
+	}
+	if id := get(t, got, "the first"); id != strings.Repeat("a", 16) || len(got) > 0 {
+		t.Errorf("the worker got %s and %d more", id, len(got))
+	}
+}
+
 // TestConnectionThatFellSilentWithinAnAnswer: it is ended, and what is open on it may have run.
 func TestConnectionThatFellSilentWithinAnAnswer(t *testing.T) {
 	w := &platform.Worker{ID: "w", Act: raw("*4\r\n$16\r\n")}
