--- a/internal/transport/http1/http1.go
+++ b/internal/transport/http1/http1.go
@@ -174,6 +174,9 @@
 	if end > r.lim.Head {
 		return &Error{431, "header exceeds its limit"}
 	}
+	if err := early(r.buf[:end], r.response); err != nil {
+		return err
+	}
 	h, err := r.parse(string(r.buf[:end]))
 	if err != nil {
 		return err
@@ -183,10 +186,11 @@
 	return nil
 }
 
-// early turns down what can't become a message, before its end has come.
+// early turns down what can't become a message, before its end has come, and by the same rule when it has: where a
+// stream is cut changes no verdict.
 func early(p []byte, response bool) error {
 	for i, c := range p {
-		if c == '\n' && (i == 0 || p[i-1] != '\r') || c == 0 || c >= 0x80 && i < 16 {
+		if c == '\n' && (i == 0 || p[i-1] != '\r') || c == 0 || c >= 0x80 && i < 16 && !response {
 			return bad("byte %#x in the header", c)
 		}
 		if !response && i == 0 && (c < 'A' || c > 'Z') && c != '\r' {
