--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,8 @@
 	ids   map[string]struct{} // of the calls in hand
 	done  bool
 	stats Stats
+
+	sweeps atomic.Uint64 // so far
 }
 
 // Stats counts what the front has turned down.
@@ -133,8 +136,26 @@
 	_ = f.ln.Close()
 }
 
+// Settle waits until nothing is owed to any client: no request in hand, come and not read, or waiting behind a
+// connection that was not accepted yet, and the last answer's bytes taken by the system. It reports whether that came
+// within limit. The router must have stopped: what still comes is turned away.
+func (f *Front) Settle(limit time.Duration) bool {
+	for end := time.Now().Add(limit); ; time.Sleep(5 * time.Millisecond) {
+		f.mu.Lock()
+		owed := readable(f.ln.Fd())
+		for c := range f.conns {
+			owed = owed || c.owed()
+		}
+		f.mu.Unlock()
+		if !owed || time.Now().After(end) {
+			return !owed
+		}
+	}
+}
+
 // accept takes a connection. Above the bound the least useful one yields: one that has never sent anything, the
-// oldest first, then the one idle longest. Where all have a request in hand, the new one is closed.
+// oldest first, then the one idle longest. Where all have a request in hand, or one that has come in part or is not
+// read yet, the new one is closed.
 func (f *Front) accept(nc netpoll.Connection) *conn {
 	_ = nc.SetWriteTimeout(f.cfg.Write)
 	c := &conn{f: f, nc: nc, since: time.Now(), in: http1.NewReader(f.cfg.Limits)}
@@ -144,10 +165,8 @@
 	if len(f.conns) >= f.cfg.MaxConns {
 		yields = c
 		for o := range f.conns {
-			if yields == c || o.yields(yields) {
-				if !o.busy && !o.over {
-					yields = o
-				}
+			if (yields == c || o.yields(yields)) && !o.over && !o.begun && !o.owed() {
+				yields = o
 			}
 		}
 		f.stats.Evicted++
@@ -181,9 +200,11 @@
 		f.mu.Lock()
 		for c := range f.conns {
 			switch wait := now.Sub(c.since); {
-			case c.busy || c.over:
-			case !c.served && wait > f.cfg.First || c.begun && wait > f.cfg.First:
-				late = append(late, c)
+			case c.over:
+			case (!c.served || c.begun) && wait > f.cfg.First:
+				if !c.owed() {
+					late = append(late, c)
+				}
 			case wait > f.cfg.Idle:
 				idle = append(idle, c)
 			}
@@ -195,6 +216,7 @@
 		for _, c := range idle {
 			c.end()
 		}
+		f.sweeps.Add(1)
 	}
 }
 
@@ -210,6 +232,7 @@
 	since  time.Time // when it was accepted, its request began, or its last answer was given
 	served bool      // it has had an answer
 	begun  bool      // a request has begun and is not whole
+	reads  bool      // what has come is being read
 	busy   bool      // a request is in hand
 	last   bool      // the connection ends after the answer
 	over   bool
@@ -226,6 +249,39 @@
 	return c.since.Before(o.since)
 }
 
+// owed tells whether a request is in hand, or may have come and was not looked at: then the connection is not closed.
+// The front's lock is held, without which nothing that has come is read.
+func (c *conn) owed() bool {
+	return c.busy || c.reads || readable(fdOf(c.nc)) || c.nc.Reader().Len() > 0
+}
+
+// gone tells whether the client has left, by the socket too: what it tells may not have been read yet.
+func (c *conn) gone() bool {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	return c.over || !c.nc.IsActive() || polled(fdOf(c.nc), unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// fdOf is a connection's descriptor, or -1.
+func fdOf(nc netpoll.Connection) int {
+	if fd, ok := nc.(netpoll.Conn); ok && nc.IsActive() {
+		return fd.Fd()
+	}
+	return -1
+}
+
+// readable tells whether something waits to be read on a descriptor, the end included.
+func readable(fd int) bool { return polled(fd, unix.POLLIN)&unix.POLLIN != 0 }
+
+// polled looks at a descriptor without waiting. The system passes over one below 0.
+func polled(fd int, events int16) int16 {
+	set := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	if n, err := unix.Poll(set, 0); err != nil || n == 0 {
+		return 0
+	}
+	return set[0].Revents
+}
+
 // closed takes the end of the connection: the client of a call in hand has left.
 func (c *conn) closed() {
 	c.f.mu.Lock()
@@ -253,7 +309,7 @@
 // end closes the connection, unless a request has come meanwhile.
 func (c *conn) end() {
 	c.f.mu.Lock()
-	if c.busy || c.over {
+	if c.over || c.begun || c.owed() {
 		c.f.mu.Unlock()
 		return
 	}
@@ -270,11 +326,17 @@
 			_ = c.nc.Close()
 		}
 	}()
+	defer func() {
+		c.f.mu.Lock()
+		c.reads = false
+		c.f.mu.Unlock()
+	}()
 	r := c.nc.Reader()
 	came := arrival(c.nc)
 	for n := r.Len(); n > 0; n = r.Len() {
 		c.f.mu.Lock()
 		over := c.over
+		c.reads = true
 		c.f.mu.Unlock()
 		if over {
 			_ = r.Skip(n)
@@ -363,7 +425,7 @@
 		c.refuse(err)
 		return
 	}
-	call.Client = c
+	call.Client, call.Gone = c, c.gone
 	c.f.mu.Lock()
 	if _, open := c.f.ids[req.ID]; open {
 		c.f.mu.Unlock()
--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -9,9 +9,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+
 	"github.com/topazfront/topazfront/brain"
 	"github.com/topazfront/topazfront/internal/invoke"
 	"github.com/topazfront/topazfront/internal/roster"
@@ -41,6 +45,7 @@
 // echo is an upstream that answers each attempt with its body.
 type echo struct {
 	r    *router.Router
+	hold func(*router.Call) // nil, or called before each answer
 	mu   sync.Mutex
 	seen []*invoke.Request
 }
@@ -55,6 +60,9 @@
 	u.mu.Lock()
 	u.seen = append(u.seen, req)
 	u.mu.Unlock()
+	if u.hold != nil {
+		u.hold(c)
+	}
 	u.r.AttemptEnded(token, router.Ended{Result: brain.OK, Answer: append([]byte("done "), req.Body...), Report: router.NoReport})
 	return none{}
 }
@@ -399,6 +407,170 @@
 	}
 }
 
+// stopReading has a connection's reader wait: what its client sends is taken by the system and not looked at.
+func stopReading(t *testing.T, f *Front, l *link) (c *conn, resume func()) {
+	t.Helper()
+	f.mu.Lock()
+	for o := range f.conns {
+		if o.nc.RemoteAddr().String() == l.nc.LocalAddr().String() {
+			c = o
+		}
+	}
+	f.mu.Unlock()
+	if c == nil {
+		t.Fatal("no such connection")
+	}
+	c.mu.Lock()
+	return c, c.mu.Unlock
+}
+
+// until waits for something that must come.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 4000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("%s did not come", what)
+}
+
+// accepted waits until so many connections have been taken.
+func accepted(t *testing.T, f *Front, n uint64) {
+	t.Helper()
+	until(t, "the connection", func() bool { return f.Stats().Accepted == n })
+}
+
+// TestARequestThatIsNotReadYetIsNotClosedOn: it crosses an eviction, and the sweep of idle connections and of those late
+// with a request. In each case the connection was due before the request came.
+func TestARequestThatIsNotReadYetIsNotClosedOn(t *testing.T) {
+	for name, cross := range map[string]func(t *testing.T, f *Front, c *conn){
+		"eviction": func(t *testing.T, f *Front, c *conn) {
+			for n := range 6 { // by its age it is the first to yield
+				dial(t, f)
+				accepted(t, f, uint64(n+2))
+			}
+		},
+		"idle": func(t *testing.T, f *Front, c *conn) { c.end() },
+		"late": func(t *testing.T, f *Front, c *conn) {
+			f.mu.Lock()
+			c.since = time.Now().Add(-time.Hour)
+			f.mu.Unlock()
+			next := f.sweeps.Load() + 2
+			until(t, "a sweep", func() bool { return f.sweeps.Load() >= next })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, _ := serve(t, func(c *Config) { c.MaxConns = 3 })
+			l := dial(t, f)
+			accepted(t, f, 1)
+			c, resume := stopReading(t, f, l)
+			l.write(request(served, "x"))
+			until(t, "the request", func() bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return c.reads
+			})
+			cross(t, f, c)
+			resume()
+			if status, body, _, _ := l.answer(); status != 200 || body != "done x" {
+				t.Errorf("%d %q", status, body)
+			}
+		})
+	}
+}
+
+// TestBytesInTheSystemAreOwed: before the reader has been woken, and the descriptor alone shows that something came.
+func TestBytesInTheSystemAreOwed(t *testing.T) {
+	fd, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if readable(fd[0]) || polled(fd[0], unix.POLLRDHUP) != 0 || readable(-1) {
+		t.Error("something is seen where nothing came")
+	}
+	if _, err := syscall.Write(fd[1], []byte("P")); err != nil || !readable(fd[0]) {
+		t.Error("a byte is not seen", err)
+	}
+	_ = syscall.Close(fd[1])
+	if polled(fd[0], unix.POLLRDHUP)&unix.POLLRDHUP == 0 {
+		t.Error("the end behind it is not seen")
+	}
+	_ = syscall.Close(fd[0])
+}
+
+// deaf is a connection whose event loop has not got to hear of anything yet.
+type deaf struct {
+	netpoll.Connection
+	fd int
+}
+
+func (d deaf) Fd() int        { return d.fd }
+func (d deaf) IsActive() bool { return true }
+
+// TestAClientThatLeftIsGone: the call tells so as soon as the socket does, though the event loop may not have.
+func TestAClientThatLeftIsGone(t *testing.T) {
+	f, u := serve(t, nil)
+	l := dial(t, f)
+	accepted(t, f, 1)
+	in := make(chan *router.Call, 1)
+	hold := make(chan struct{})
+	u.hold = func(c *router.Call) { in <- c; <-hold }
+	l.write(request(served, ""))
+	call := <-in
+	if call.Gone() {
+		t.Error("gone while it waits")
+	}
+	_ = l.nc.Close()
+	until(t, "the end", call.Gone)
+	close(hold)
+	open(t, f, 0)
+
+	fd, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = syscall.Close(fd[0]) }()
+	c := &conn{f: f, nc: deaf{fd: fd[0]}}
+	if c.gone() {
+		t.Error("gone while it waits")
+	}
+	if _ = syscall.Close(fd[1]); !c.gone() {
+		t.Error("not gone though the socket tells so")
+	}
+}
+
+// TestSettleWaitsForWhatIsOwed: a request in hand, and one that is not read yet; not a connection that says nothing.
+func TestSettleWaitsForWhatIsOwed(t *testing.T) {
+	f, _ := serve(t, nil)
+	dial(t, f)
+	accepted(t, f, 1)
+	if !f.Settle(20 * time.Second) {
+		t.Error("nothing was owed")
+	}
+	busy := dial(t, f)
+	busy.write(request(held, ""))
+	open(t, f, 1)
+	if f.Settle(0) {
+		t.Error("a request in hand was owed its answer")
+	}
+	_ = busy.nc.Close()
+	open(t, f, 0)
+	l := dial(t, f)
+	accepted(t, f, 3)
+	_, resume := stopReading(t, f, l)
+	l.write(request(served, "x"))
+	until(t, "what is owed", func() bool { return !f.Settle(0) })
+	settled := make(chan bool)
+	go func() { settled <- f.Settle(20 * time.Second) }()
+	resume()
+	if status, _, _, _ := l.answer(); status != 200 || !<-settled {
+		t.Errorf("status %d", status)
+	}
+}
+
 // TestTimeCountsFromArrival: what waited in the system before it was read has used up some of its time.
 func TestTimeCountsFromArrival(t *testing.T) {
 	f, _ := serve(t, nil)
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -32,7 +32,7 @@
 	channelGrace = 400 * time.Millisecond  // and its answer may take so much longer
 	channelPause = 500 * time.Millisecond  // most between questions that fail
 	acceptFor    = 1200 * time.Millisecond // clients still come so long after SIGTERM
-	settleFor    = 200 * time.Millisecond  // the last answers leave within this
+	settleFor    = 200 * time.Millisecond  // the module's last answers come within this beyond the longest deadline
 )
 
 // Options are what does not stand in the configuration.
@@ -112,7 +112,9 @@
 			limit = max(limit, c.Deadline)
 		}
 		lost = n.router.Stop(limit + settleFor)
-		time.Sleep(settleFor)
+		if !n.front.Settle(writeWithin) {
+			n.log.Warn("stopped while a client had not taken its answer")
+		}
 		n.front.Close()
 		n.feed.Close()
 		n.pool.Close()
@@ -156,10 +158,16 @@
 	}
 	tick := time.NewTicker(5 * time.Second)
 	defer tick.Stop()
+	term, ended := ctx.Done(), make(chan struct{})
 	for {
 		select {
-		case <-ctx.Done():
-			n.Stop()
+		case <-term: // the file and the channel are followed until the end: workers still drain
+			term = nil
+			go func() {
+				n.Stop()
+				close(ended)
+			}()
+		case <-ended:
 			return nil
 		case <-hup:
 			next, err := reload(path)
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -371,6 +371,16 @@
 	}
 	stop() // as SIGTERM does
 	line("msg=stopping")
+	last, err := platform.StartChannel(`"x":1`, `"x":2`, `"x":3`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer last.Stop()
+	write(file(last.Addr(), f.channel.Known()))
+	hup() // in the same breath: workers drain while the last calls are served
+	if n := platform.Await(t, last.Asked(), "a question at the last address"); n != 2 {
+		t.Errorf("asked from %d at the last address", n)
+	}
 	f.workers[0].Work = 0
 	began := time.Now()
 	served := 0
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -20,8 +20,13 @@
 	Streamed bool
 	Request  any // what the front took, for the upstream of the same protocol
 	Client   Client
+	Gone     func() bool // tells whether the client has left, at any moment and from any goroutine; nil: only drop tells
 }
 
+// Wanted tells whether an attempt may still be of use to the client: false once it has left, though the router may
+// not have got to hear of it.
+func (c *Call) Wanted() bool { return c.Gone == nil || !c.Gone() }
+
 // Client is the front's end of a call. Its methods come from the router's loop, but for Message, which
 // comes from the one goroutine that reads the answering attempt; none blocks. Finish comes once, last.
 type Client interface {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -360,7 +360,7 @@
 	if a.Timeout > 0 {
 		left = min(left, a.Timeout)
 	}
-	if e.state != waiting || left <= 0 {
+	if e.state != waiting || left <= 0 || !e.call.Wanted() {
 		r.end(t, Ended{Result: brain.NotSent, Report: NoReport})
 		return
 	}
--- a/internal/upstream/respback/evidence.go
+++ b/internal/upstream/respback/evidence.go
@@ -19,7 +19,8 @@
 //	no connection for want of a descriptor, port or
 //	  memory at this end                                 NotSent        yes: nothing was written
 //	not written: the worker drains, has gone or was
-//	  replaced, time is too short, or it was given up    NotSent        yes: nothing was written
+//	  replaced, time is too short, the client has left,
+//	  or it was given up                                 NotSent        yes: nothing was written
 //	the system took no byte of it (reset before)         (another connection, else NotSent)
 //	nothing                                              Missed         yes: the worker's promise
 //	refused                                              Refused        yes: the worker's promise
--- a/internal/upstream/respback/pool.go
+++ b/internal/upstream/respback/pool.go
@@ -83,6 +83,7 @@
 	until time.Time // of no use when written later
 	tries int       // connections that took no byte of it
 	began time.Time
+	call  *router.Call // of an attempt
 	form  func(left time.Duration) []byte
 	done  func(brain.Result, *answer)
 
@@ -181,7 +182,7 @@
 // Send implements router.Upstream.
 func (p *Pool) Send(token router.Token, c *router.Call, id string, _ int, left time.Duration) router.Attempt {
 	req, _ := c.Request.(*invoke.Request)
-	x := &exchange{p: p, kind: exec, began: time.Now()}
+	x := &exchange{p: p, kind: exec, call: c, began: time.Now()}
 	x.until = x.began.Add(left)
 	x.done = func(res brain.Result, a *answer) {
 		how := router.Ended{Result: res, Report: router.NoReport}
@@ -260,7 +261,7 @@
 // viable tells whether an exchange may be written now.
 func (p *Pool) viable(x *exchange, now time.Time) bool {
 	return !x.over && x.w != nil && !x.w.left && !p.closed && now.Before(x.until) &&
-		(x.w.state == brain.On || x.kind == probe)
+		(x.w.state == brain.On || x.kind == probe) && (x.call == nil || x.call.Wanted())
 }
 
 // place finds a connection for an exchange: one with nothing open, lately used first, else a new one while the
--- a/internal/upstream/respback/respback_test.go
+++ b/internal/upstream/respback/respback_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -328,6 +329,11 @@
 			x.until = time.Now()
 			st.p.mu.Unlock()
 		},
+		"the client left": func(st *stage, x *exchange) {
+			st.p.mu.Lock()
+			x.call = &router.Call{Gone: func() bool { return true }}
+			st.p.mu.Unlock()
+		},
 	} {
 		for _, k := range []kind{exec, order} {
 			t.Run(fmt.Sprint(name, " ", k), func(t *testing.T) {
@@ -351,6 +357,30 @@
 	}
 }
 
+// TestNoFurtherAttemptForAClientThatLeft: the client leaves while the first attempt is out, and the router has not got to
+// hear of it when that one ends. The further attempt that follows is not written.
+func TestNoFurtherAttemptForAClientThatLeft(t *testing.T) {
+	var left atomic.Bool
+	first := &platform.Worker{ID: "w", Act: func(r platform.Request) {
+		left.Store(true)
+		r.Conn.Say(r.ID, "error", "-", "")
+	}}
+	second := &platform.Worker{ID: "x"}
+	st := newStage(t, nil, &script{to: []string{"w", "x"}}, first, second)
+	c := make(client, 1)
+	st.r.Submit(&router.Call{Function: fn, Class: "c", Left: 15 * time.Second, Client: c, Gone: left.Load,
+		Request: &invoke.Request{ID: strings.Repeat("a", 16), Class: "c", Function: fn}})
+	for _, want := range []brain.Result{brain.Errored, brain.NotSent} {
+		if o := platform.Await(t, st.s.outcomes, "an outcome"); o.Result != want {
+			t.Errorf("%+v, want result %v", o, want)
+		}
+	}
+	platform.Await(t, c, "the final answer")
+	if got := second.Got(); len(got) > 0 {
+		t.Errorf("the second worker got %v", got)
+	}
+}
+
 // TestWhatWaitedIsWrittenWhereNothingChanged is the mutation of the test above: it can fail.
 func TestWhatWaitedIsWrittenWhereNothingChanged(t *testing.T) {
 	w := &platform.Worker{ID: "w"}
