--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -59,9 +59,10 @@
 	req, _ := c.Request.(*invoke.Request)
 	u.mu.Lock()
 	u.seen = append(u.seen, req)
+	hold := u.hold
 	u.mu.Unlock()
-	if u.hold != nil {
-		u.hold(c)
+	if hold != nil {
+		hold(c)
 	}
 	u.r.AttemptEnded(token, router.Ended{Result: brain.OK, Answer: append([]byte("done "), req.Body...), Report: router.NoReport})
 	return none{}
@@ -517,7 +518,9 @@
 	accepted(t, f, 1)
 	in := make(chan *router.Call, 1)
 	hold := make(chan struct{})
+	u.mu.Lock()
 	u.hold = func(c *router.Call) { in <- c; <-hold }
+	u.mu.Unlock()
 	l.write(request(served, ""))
 	call := <-in
 	if call.Gone() {
