--- a/brain/api.go
+++ b/brain/api.go
@@ -226,6 +226,10 @@
 	Silent  []string
 }
 
+// Closing tells that this router ends: a request in hand that has no answer by then gets a final one then, and what
+// comes later brings no more time than is left.
+type Closing struct{ Within time.Duration }
+
 // Woken tells that a Wake has come due.
 type Woken struct{}
 
@@ -237,6 +241,7 @@
 func (Probed) event()  {}
 func (Roster) event()  {}
 func (Peers) event()   {}
+func (Closing) event() {}
 func (Woken) event()   {}
 
 // Action is something for the router to do: one of the types below.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -251,6 +251,11 @@
 			d.probed(e)
 		case Peers:
 			d.peers(e)
+		case Closing:
+			for _, id := range slices.Sorted(maps.Keys(d.reqs)) {
+				d.reqs[id].deadline = min(d.reqs[id].deadline, d.now+e.Within)
+				d.wakeAt(d.reqs[id], d.reqs[id].deadline)
+			}
 		case Woken:
 			if d.now > d.armed-wakeSlack {
 				d.armed = 0 // callers may round a Wake down
@@ -929,13 +934,12 @@
 	if r.out == 0 {
 		delete(d.reqs, r.ID)
 	}
-	first := !r.done && d.set.MayCancel
-	r.done = true
 	for _, a := range r.attempts {
-		if first && !a.ended {
+		if !r.done && d.set.MayCancel && !a.ended {
 			d.act(Cancel{ID: r.ID, Attempt: a.n})
 		}
 	}
+	r.done = true
 }
 
 // Health ------------------------------------------------------------------------------------------------
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -967,3 +967,41 @@
 		t.Errorf("with %d streams read slowly nothing is sent any more: %v", streams, got)
 	}
 }
+
+// TestClosingAnswersAllInTime: what is in hand when the router is told of its end has its answer by then: a refusal where
+// trying again is harmless, a failure elsewhere; what is in time anyway is left alone.
+func TestClosingAnswersAllInTime(t *testing.T) {
+	s := settings()
+	s.LoadsOnMiss = true
+	r := newRig(t, s, "a", "b", "c")
+	all := map[RequestID]string{1: "safe", 2: "once", 3: "safe"}
+	left := map[RequestID]time.Duration{1: time.Hour, 2: time.Hour, 3: 200 * time.Millisecond}
+	for id := RequestID(1); id <= 3; id++ {
+		r.step(Request{ID: id, Function: "f", Class: all[id], MemoryMB: 300, Lanes: 1, Left: left[id]})
+	}
+	r.step(Closing{Within: time.Second})
+	ends := map[RequestID]time.Duration{}
+	begin := r.now
+	for range 150 {
+		r.now += 10 * time.Millisecond
+		for _, a := range r.step(Woken{}) {
+			switch a := a.(type) {
+			case Refuse:
+				ends[a.ID] = r.now - begin
+				if all[a.ID] != "safe" {
+					t.Errorf("%d refused", a.ID)
+				}
+			case Fail:
+				ends[a.ID] = r.now - begin
+				if all[a.ID] != "once" {
+					t.Errorf("%d failed", a.ID)
+				}
+			}
+		}
+	}
+	for id, want := range map[RequestID]time.Duration{1: time.Second, 2: time.Second, 3: 200 * time.Millisecond} {
+		if at, ok := ends[id]; !ok || at < want-10*time.Millisecond || at > want+20*time.Millisecond {
+			t.Errorf("%d ended after %v (%v), want %v", id, at, ok, want)
+		}
+	}
+}
--- a/brain/checker_test.go
+++ b/brain/checker_test.go
@@ -80,6 +80,10 @@
 		if q := c.live[e.ID]; q != nil {
 			q.done = true
 		}
+	case Closing:
+		for _, q := range c.live {
+			q.deadline = min(q.deadline, now+e.Within)
+		}
 	case Roster:
 		in := map[string]bool{}
 		for _, m := range e.Members {
--- a/brain/fuzz_test.go
+++ b/brain/fuzz_test.go
@@ -51,6 +51,10 @@
 				out = r.step(Outcome{ID: a.id, Attempt: a.n, Worker: a.w, Result: res, Final: final[a.id],
 					Took: 30 * time.Millisecond, Warmth: Warmth(x % 5), Load: NoLoad})
 			case 5:
+				if x > 250 {
+					out = r.step(Closing{Within: time.Duration(x-250) * 100 * time.Millisecond})
+					break
+				}
 				if x > 220 {
 					out = r.step(Peers{Routers: x % 7, Silent: []string{w, "w9"}})
 					break
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -32,6 +32,8 @@
 	channelGrace = 400 * time.Millisecond  // and its answer may take so much longer
 	channelPause = 500 * time.Millisecond  // most between questions that fail
 	acceptFor    = 1200 * time.Millisecond // clients still come so long after SIGTERM
+	killedAfter  = 3 * time.Second         // SIGKILL follows SIGTERM by the longest deadline, this where that is longer,
+	killedSpare  = 500 * time.Millisecond  // and by more than this beyond
 	settleFor    = 200 * time.Millisecond  // the module's last answers come within this beyond the longest deadline
 )
 
@@ -101,17 +103,20 @@
 	n.feed.Move(cfg.Channel)
 }
 
-// Stop ends the router at a planned restart: clients are served as ever until no more of them come, then every
-// call that was taken gets its answer. It returns how many had none.
+// Stop ends the router at a planned restart: clients are served as ever until no more of them come, and every call that
+// was taken gets its answer before the process is killed. It returns how many had none.
 func (n *Node) Stop() (lost int) {
 	n.once.Do(func() {
 		n.log.Info("stopping", "calls", n.front.Stats().Open)
-		time.Sleep(acceptFor)
 		limit := time.Duration(0)
 		for _, c := range n.cfg.Settings.Classes {
 			limit = max(limit, c.Deadline)
 		}
-		lost = n.router.Stop(limit + settleFor)
+		limit = min(limit, killedAfter) + killedSpare
+		n.router.Closing(limit)
+		accept := min(acceptFor, limit)
+		time.Sleep(accept)
+		lost = n.router.Stop(limit - accept + settleFor)
 		if !n.front.Settle(writeWithin) {
 			n.log.Warn("stopped while a client had not taken its answer")
 		}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -404,6 +404,37 @@
 	f.kept()
 }
 
+// TestAStopAnswersWhatWorkersDoNot: clients wait for longer than the process lives on after SIGTERM, and workers say
+// nothing. Each class gets the final answer that its effect allows, before the end.
+func TestAStopAnswersWhatWorkersDoNot(t *testing.T) {
+	f := newFleet(t, nil)
+	for _, w := range f.workers {
+		w.Act = func(platform.Request) {}
+	}
+	got := make(chan [2]string, 3)
+	for i, class := range []string{"safe", "keyed", "unsafe"} {
+		go func() {
+			status, _ := f.client.Call(fmt.Sprintf("%016x", 100+i), class, fmt.Sprintf("%016x", 7), time.Minute)
+			got <- [2]string{class, fmt.Sprint(status)}
+		}()
+	}
+	for range 4000 {
+		if f.node.front.Stats().Open == 3 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if lost := f.node.Stop(); lost != 0 {
+		t.Errorf("%d calls without an answer", lost)
+	}
+	want := map[string]string{"safe": "503", "keyed": "502", "unsafe": "502"}
+	for range 3 {
+		if a := platform.Await(t, got, "an answer"); a[1] != want[a[0]] {
+			t.Errorf("%s: status %s, want %s", a[0], a[1], want[a[0]])
+		}
+	}
+}
+
 func TestConfigurationsThatAreWrongAreNamed(t *testing.T) {
 	good := file("127.0.0.1:1", `{"cursor":1,"cmds":[{"cursor":1,`+platform.Nodes(true, "a 127.0.0.1:1 active")+`}]}`)
 	if _, err := Parse([]byte(good)); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -95,6 +95,7 @@
 	wheel  *wheel.Wheel
 	due    time.Duration // when the module asked to be woken; 0: not
 	quit   bool          // the loop ends once no call is left
+	closes time.Duration // when every call has its answer, as the router ends then; 0: it goes on
 	killed bool
 	fns    map[string]time.Duration // when each function was last called,
 	most   int                      // and how many may be known before they are looked through
@@ -302,6 +303,9 @@
 		r.next++
 		e.id = r.next
 		r.calls[e.id] = e
+		if r.closes > 0 {
+			e.deadline = min(e.deadline, r.closes)
+		}
 		r.stats.Calls++
 		r.called(c.Function)
 		r.events = append(r.events, brain.Request{ID: e.id, Function: c.Function, Class: c.Class, Tenant: c.Tenant,
@@ -557,6 +561,14 @@
 	return <-got
 }
 
+// Closing has every call answered within a while, those that still come too: the process is ended then.
+func (r *Router) Closing(within time.Duration) {
+	r.post(func() {
+		r.closes = r.now + within
+		r.events = append(r.events, brain.Closing{Within: within})
+	})
+}
+
 // ErrStopped tells that a router has ended.
 var ErrStopped = errors.New("router: stopped")
 
