--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -33,7 +33,9 @@
   "connect_timeout":2000000,"idle_close":15000000,"streams_per_conn":32},
  "safety":{"drain_grace":500000,"start_capacity":0.2,"warm_within":16000000,"overload_factor":3,"fall":1500000,"grace_to_answer":5000}}`
 
-func file(channel, known string) string {
+func file(channel, known string) string { return fileOf(settings, channel, known) }
+
+func fileOf(settings, channel, known string) string {
 	return fmt.Sprintf(`{"name":"r","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":64,"sockets":256},"channel":%q,"known":%s,"settings":%s}`, channel, known, settings)
 }
@@ -51,6 +53,12 @@
 }
 
 func newFleet(t *testing.T, decider func(brain.Settings, uint64) (router.Decider, error)) *fleet {
+	t.Helper()
+	return newFleetOf(t, settings, decider)
+}
+
+// newFleetOf is a fleet whose router has settings of its own.
+func newFleetOf(t *testing.T, settings string, decider func(brain.Settings, uint64) (router.Decider, error)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, log: rules.NewLog()}
 	var list []string
@@ -68,7 +76,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.channel.Stop)
-	cfg, err := Parse([]byte(file(f.channel.Addr(), f.channel.Known())))
+	cfg, err := Parse([]byte(fileOf(settings, f.channel.Addr(), f.channel.Known())))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -404,6 +412,49 @@
 	f.kept()
 }
 
+// TestSettingsOfOtherDeployments: whatever optional part is missing or odd, the router starts, serves a call of its first
+// class at a worker that it has to load, and stops with nothing lost.
+func TestSettingsOfOtherDeployments(t *testing.T) {
+	class := func(i int) string {
+		kinds := []string{`"read_like"`, `"non_idempotent"`, `"idempotency_key","dedup_scope":"all","window":5000000`}
+		return fmt.Sprintf(`{"name":"c%d","semantics":%s,"target":1000000,"deadline":20000000}`, i, kinds[i%3])
+	}
+	twenty := make([]string, 20)
+	for i := range twenty {
+		twenty[i] = class(i)
+	}
+	one := `"classes":[` + class(0) + `]`
+	for name, settings := range map[string]string{
+		"one class and nothing else": `{` + one + `}`,
+		"twenty classes":             `{"classes":[` + strings.Join(twenty, ",") + `]}`,
+		"loads, no orders":           `{` + one + `,"family_info":{"when_absent":"load","may_order":false}}`,
+		"orders without a ration":    `{` + one + `,"family_info":{"when_absent":"miss","may_order":true}}`,
+		"orders, ration of nothing":  `{` + one + `,"family_info":{"when_absent":"load","may_order":true,"free_loads":0,"load_ratio":0,"load_span":5000000}}`,
+		"no probes, no cancel":       `{` + one + `,"limits":{"send_cap":2,"may_probe":false,"cancel":false},"feedback":{"how":"pull","fields":["waiting"]}}`,
+		"unknown feedback":           `{` + one + `,"feedback":{"how":"carrier pigeon","fields":[]},"limits":{"send_cap":9}}`,
+		"a cold span without a rule": `{` + one + `,"safety":{"start_capacity":0,"warm_within":9000000,"overload_factor":0,"fall":0}}`,
+		"nulls": `{` + one + `,"az":null,"azs":null,"projects":null,"host_types":null,"family_info":null,"limits":null,"safety":null,
+			"feedback":null,"prices":null}`,
+		"tenants, worth and costs of nothing": `{"classes":[{"name":"c0","semantics":"read_like","target":0,"deadline":20000000,"worth":0,"late_share":0}],
+			"projects":[{"name":"p","quota_per_s":0,"share":0}],"over_share_worth":0,"prices":{"probe":0,"handshake":0}}`,
+		"three hundred routers": `{` + one + `,"balancers":300,"family_info":{"when_absent":"load"},"limits":{"send_cap":3,"may_probe":true,"cancel":true}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetOf(t, settings, nil)
+			for i := range 3 {
+				status, body := f.client.Call(fmt.Sprintf("%016x", i+1), "c0", fmt.Sprintf("%016x", 7), 20*time.Second)
+				if status != 200 || body != fmt.Sprintf("done %016x", i+1) {
+					t.Errorf("call %d: %d %q", i, status, body)
+				}
+			}
+			if lost := f.node.Stop(); lost != 0 {
+				t.Errorf("%d lost", lost)
+			}
+		})
+	}
+}
+
 // TestAStopAnswersWhatWorkersDoNot: clients wait for longer than the process lives on after SIGTERM, and workers say
 // nothing. Each class gets the final answer that its effect allows, before the end.
 func TestAStopAnswersWhatWorkersDoNot(t *testing.T) {
--- a/internal/wire/json.go
+++ b/internal/wire/json.go
@@ -39,10 +39,13 @@
 	f := &fields{pairs: map[string]string{}}
 	f.flatten("", v, 0)
 	s := settings(f)
-	l := Limits{ConnectTimeout: f.duration("limits.connect_timeout", false),
-		IdleClose:      f.duration("limits.idle_close", false),
-		OrderTimeout:   f.duration("family_info.order_timeout", false),
+	l := Limits{ConnectTimeout: f.span("limits.connect_timeout"),
+		IdleClose:      f.span("limits.idle_close"),
+		OrderTimeout:   f.span("family_info.order_timeout"),
 		StreamsPerConn: int(f.integer("limits.streams_per_conn", false))}
+	if len(s.Classes) == 0 {
+		f.set(errors.New("classes: none is named"))
+	}
 	if f.err != nil {
 		return s, l, fmt.Errorf("settings: %w", f.err)
 	}
--- a/internal/wire/json_test.go
+++ b/internal/wire/json_test.go
@@ -51,6 +51,13 @@
 		`{"classes":[{"name":"a"}]}`:           "classes.0.semantics",
 		`{"classes":[{"semantics":"odd"}]}`:    "classes.0.name",
 		`{"limits":{"connect_timeout":1e300}}`: "limits.connect_timeout",
+		`{"limits":{"connect_timeout":-1}}`:    "limits.connect_timeout",
+		`{"limits":{"send_cap":0}}`:            "limits.send_cap",
+		`{"limits":{"send_cap":-3}}`:           "limits.send_cap",
+		`{"safety":{"warm_within":-5}}`:        "safety.warm_within",
+		`{"family_info":{"load_span":-5}}`:     "family_info.load_span",
+		`{"classes":[]}`:                       "classes",
+		`{"classes":[{"name":"a","semantics":"read_like","deadline":-1}]}`:    "classes.0.deadline",
 		`{"a":` + strings.Repeat(`{"a":`, 40) + "1" + strings.Repeat("}", 41): "too deep",
 	} {
 		if _, _, err := SettingsOf([]byte(in)); err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/topazfront/topazfront/brain"
 )
@@ -16,24 +17,29 @@
 		LoadsOnMiss:    f.text("family_info.when_absent", false) == "load",
 		MayOrder:       f.bool("family_info.may_order"),
 		TellsWarm:      f.bool("family_info.tells_warm"),
-		IdleKeep:       f.duration("family_info.linger_idle", false),
-		LoadSpan:       f.duration("family_info.load_span", false),
+		IdleKeep:       f.span("family_info.linger_idle"),
+		LoadSpan:       f.span("family_info.load_span"),
 		LoadFree:       f.number("family_info.free_loads", false),
 		LoadRatio:      f.number("family_info.load_ratio", false),
 		MayCancel:      f.bool("limits.cancel"),
 		MayProbe:       f.bool("limits.may_probe"),
 		SecondCopies:   f.bool("limits.second_copies"),
-		MaxAttempts:    int(f.integer("limits.send_cap", false)),
-		AnswerGrace:    f.duration("safety.grace_to_answer", false),
-		DrainGrace:     f.duration("safety.drain_grace", false),
+		MaxAttempts:    1, // where nothing is said, nothing is tried again
+		AnswerGrace:    f.span("safety.grace_to_answer"),
+		DrainGrace:     f.span("safety.drain_grace"),
 		ColdShare:      f.number("safety.start_capacity", false),
-		ColdFor:        f.duration("safety.warm_within", false),
+		ColdFor:        f.span("safety.warm_within"),
 		FallMultiple:   f.number("safety.overload_factor", false),
-		FallSpan:       f.duration("safety.fall", false),
+		FallSpan:       f.span("safety.fall"),
 		MustAsk:        f.text("registry_mode", false) == "ask",
 	}
+	if f.pairs["limits.send_cap"] != "" {
+		if s.MaxAttempts = int(f.integer("limits.send_cap", false)); s.MaxAttempts < 1 {
+			f.set(fmt.Errorf("limits.send_cap=%d: at least one attempt is needed", s.MaxAttempts))
+		}
+	}
 	if f.bool("limits.retry_after") {
-		s.MaxRetryAfter = f.duration("limits.max_retry_after", false)
+		s.MaxRetryAfter = f.span("limits.max_retry_after")
 	}
 	switch f.text("feedback.how", false) {
 	case "piggyback":
@@ -57,11 +63,11 @@
 		at := fmt.Sprintf("classes.%d.", i)
 		c := brain.Class{
 			Name:      f.text(at+"name", true),
-			Aim:       f.duration(at+"target", false),
-			Deadline:  f.duration(at+"deadline", false),
+			Aim:       f.span(at+"target"),
+			Deadline:  f.span(at+"deadline"),
 			Worth:     f.number(at+"worth", false),
 			LateShare: f.number(at+"late_share", false),
-			Window:    f.duration(at+"window", false),
+			Window:    f.span(at+"window"),
 			Effect: word(f, at+"semantics", map[string]brain.Effect{"read_like": brain.Safe,
 				"idempotency_key": brain.Keyed, "non_idempotent": brain.Unsafe}),
 		}
@@ -79,6 +85,15 @@
 	return s
 }
 
+// span reads a duration that can't be negative.
+func (f *fields) span(name string) time.Duration {
+	d := f.duration(name, false)
+	if d < 0 {
+		f.set(fmt.Errorf("%s=%d is negative", name, d.Microseconds()))
+	}
+	return d
+}
+
 // count reads how many objects a list holds; no list of the settings holds more than the pairs there are.
 func count(f *fields, name string) int {
 	n := f.integer(name, false)
