--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -63,11 +63,11 @@
 		at := fmt.Sprintf("classes.%d.", i)
 		c := brain.Class{
 			Name:      f.text(at+"name", true),
-			Aim:       f.span(at+"target"),
-			Deadline:  f.span(at+"deadline"),
+			Aim:       f.span(at + "target"),
+			Deadline:  f.span(at + "deadline"),
 			Worth:     f.number(at+"worth", false),
 			LateShare: f.number(at+"late_share", false),
-			Window:    f.span(at+"window"),
+			Window:    f.span(at + "window"),
 			Effect: word(f, at+"semantics", map[string]brain.Effect{"read_like": brain.Safe,
 				"idempotency_key": brain.Keyed, "non_idempotent": brain.Unsafe}),
 		}
