--- a/brain/api.go
+++ b/brain/api.go
@@ -84,7 +84,8 @@
 	Reports        Source
 	MayCancel      bool
 	MayProbe       bool
-	SecondCopies   bool // two attempts of a request may be out at once
+	ProbePrice     float64 // what a probe for every request would cost, as a share of the worth offered
+	SecondCopies   bool    // two attempts of a request may be out at once
 	MaxAttempts    int
 	MaxRetryAfter  time.Duration // the longest advice that clients follow: 0 for none
 	AnswerGrace    time.Duration
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,6 +39,7 @@
 	freshFor    = 300 * time.Millisecond // how long a report holds,
 	crowdedAt   = 1.5                    // multiple of the mean held from which a worker is passed over
 	slowFrom    = 1.0                    // slowness from which a worker is called slow to other routers
+	probeWorth  = 0.02                   // share of the worth offered that a probe before each send may earn
 	askEvery    = time.Second            // how often a doubted worker is asked for a sign of life
 	patience    = 3                      // an attempt is overdue at this multiple of its expected time,
 	patienceMin = 100 * time.Millisecond // and not before this has been added to it
@@ -528,8 +529,7 @@
 // they hadn't, as the request waits for a load. Where the choice holds no copy and another worker does, the
 // choice is told to load and the other serves: a split that moves or grows costs nobody a load's wait.
 func (d *Dispatcher) pick(r *request) *worker {
-	f := r.fn
-	many := d.manyDoubted()
+	f, many := r.fn, d.manyDoubted()
 	var choice, second, busiest *worker
 	spread := d.rng.Float64() < max(d.stands, 1/d.part)
 	full, warmFull, resting := false, false, false
@@ -726,7 +726,7 @@
 		return
 	}
 	stale := d.set.Reports != FromNothing && d.now-w.toldAt > freshFor
-	if d.set.MayProbe && stale && !r.probed && d.rng.Float64()*d.part < 1 {
+	if d.set.MayProbe && d.set.ProbePrice < probeWorth && stale && !r.probed && d.rng.Float64()*d.part < 1 {
 		if len(w.asking) == 0 {
 			d.act(Probe{Worker: w.ID})
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1005,3 +1005,20 @@
 		}
 	}
 }
+
+// TestProbesBeforeSendsGoByTheirPrice: they are bought at the price of most deployments, and not where they are dear.
+func TestProbesBeforeSendsGoByTheirPrice(t *testing.T) {
+	for price, want := range map[float64]bool{0: true, 0.01: true, 0.08: false} {
+		s := settings()
+		s.LoadsOnMiss, s.Reports, s.ProbePrice = true, FromAnswers, price
+		r := newRig(t, s, "a", "b", "c", "d")
+		n := 0
+		for i := range 20 {
+			_, out := r.call(fmt.Sprint("f", i), "safe")
+			n += len(all[Probe](out))
+		}
+		if (n > 0) != want {
+			t.Errorf("at a price of %v: %d probes", price, n)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -23,6 +23,7 @@
 		LoadRatio:      f.number("family_info.load_ratio", false),
 		MayCancel:      f.bool("limits.cancel"),
 		MayProbe:       f.bool("limits.may_probe"),
+		ProbePrice:     f.number("deductions.probe", false),
 		SecondCopies:   f.bool("limits.second_copies"),
 		MaxAttempts:    1, // where nothing is said, nothing is tried again
 		AnswerGrace:    f.span("safety.grace_to_answer"),
