--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -185,6 +185,35 @@
 	}
 }
 
+// TestAWholeListAgain: it is taken with the next number and over numbers passed over, and what it leaves out is gone; one
+// with a number that was applied changes nothing. A worker that was leaving may be listed as active again.
+func TestAWholeListAgain(t *testing.T) {
+	at := func(time.Time) time.Duration { return 1 }
+	for name, n := range map[string]int{"the next number": 4, "numbers passed over": 9, "an old number": 3} {
+		tab := NewTable()
+		for i, event := range []string{platform.Nodes(true, "a 1.1.1.1:1 active", "b 1.1.1.2:1 active"),
+			platform.Nodes(false, "a 1.1.1.1:1 leaving"), platform.Nodes(false, "c 1.1.1.3:1 active")} {
+			if _, err := tab.Apply(batch(t, fmt.Sprintf(`{"cursor":%d,"cmds":[{"cursor":%d,%s}]}`, i+1, i+1, event))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := names(tab.Workers(at)); got != "a@1.1.1.1:1 drains, b@1.1.1.2:1, c@1.1.1.3:1" {
+			t.Fatal(got)
+		}
+		whole := platform.Nodes(true, "a 1.1.1.1:1 active", "c 1.1.1.3:1 leaving")
+		if _, err := tab.Apply(batch(t, fmt.Sprintf(`{"cursor":%d,"cmds":[{"cursor":%d,%s}]}`, n, n, whole))); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		want := "a@1.1.1.1:1, c@1.1.1.3:1 drains"
+		if n == 3 {
+			want = "a@1.1.1.1:1 drains, b@1.1.1.2:1, c@1.1.1.3:1"
+		}
+		if got := names(tab.Workers(at)); got != want || tab.Cursor() != int64(n) {
+			t.Errorf("%s: %s, cursor %d", name, got, tab.Cursor())
+		}
+	}
+}
+
 // FuzzParse: no answer panics, and what is taken can be applied.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"cursor":1,"cmds":[{"cursor":1,` + platform.Nodes(true, "a 1.1.1.1:1 active") + `}]}`))
--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -545,6 +545,38 @@
 	}
 }
 
+// TestAClientThatLeavesBeforeItsRequestIsRead: nothing of the request goes anywhere.
+func TestAClientThatLeavesBeforeItsRequestIsRead(t *testing.T) {
+	f, u := serve(t, nil)
+	l := dial(t, f)
+	accepted(t, f, 1)
+	c, resume := stopReading(t, f, l)
+	l.write(request(served, ""))
+	until(t, "the request", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return c.reads
+	})
+	_ = l.nc.Close()
+	until(t, "the end", c.gone)
+	resume()
+	until(t, "the end of the reading", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return !c.reads
+	})
+	last := dial(t, f) // what the loop was handed before has been seen to by the time that this is answered
+	last.write(request(served, ""))
+	if status, _, _, _ := last.answer(); status != 200 {
+		t.Error(status)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.seen) != 1 {
+		t.Errorf("%d requests passed on", len(u.seen))
+	}
+}
+
 // TestSettleWaitsForWhatIsOwed: a request in hand, and one that is not read yet; not a connection that says nothing.
 func TestSettleWaitsForWhatIsOwed(t *testing.T) {
 	f, _ := serve(t, nil)
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -307,6 +307,11 @@
 	if got := len(f.workers[0].Got()); got != before {
 		t.Errorf("%d messages to a worker that drains", got-before)
 	}
+	f.tell("a " + f.workers[0].Addr() + " active") // it stays after all
+	f.calls(10)
+	if len(f.workers[0].Got()) == before {
+		t.Error("nothing to a worker that is listed as active again")
+	}
 }
 
 // TestSignals: clients that come, and requests on open connections, are served for a while after it; then all that
