--- a/brain/brain.go
+++ b/brain/brain.go
@@ -819,8 +819,7 @@
 	if a.ended = true; a.first > 0 {
 		e.Took = a.first // what the client made of the stream is not the worker's time
 	}
-	r.out--
-	p.inFlight = max(p.inFlight-1, 0)
+	r.out, p.inFlight = r.out-1, max(p.inFlight-1, 0)
 	w.open = slices.DeleteFunc(w.open, func(o *attempt) bool { return o == a })
 	weight := a.weight
 	d.release(a)
@@ -838,9 +837,10 @@
 		d.weigh(w, e.Load.InFlight)
 	}
 	// Each of many routers has less than one attempt at a worker: one window for all bounds what is out (a
-	// concurrency limit). It shrinks for what comes late or never, though light by its hint. With no copy
-	// known an attempt counts by the chance that one stood. It hurts where few workers make many late.
-	if late := e.Took > r.class.Aim; late && r.Work < r.class.Aim/4 {
+	// concurrency limit). It shrinks for what, light by its hint, comes never or later than a load explains.
+	// Copies not known count by the chance that one stood. It hurts where few workers make many late.
+	late := e.Took > r.class.Aim && (!d.set.LoadsOnMiss || e.Took > d.loadsIn(r.fn)+r.runs())
+	if late && r.Work < r.class.Aim/4 {
 		d.window = max(d.window-lateDown*weight/d.part, 2*windowMin)
 	} else if e.Result == OK && !late && d.busy+1 > d.window*d.part/2 {
 		d.window += windowUp * weight / d.part
