--- a/brain/api.go
+++ b/brain/api.go
@@ -227,7 +227,7 @@
 	Silent  []string
 }
 
-// Closing tells that this router ends: a request in hand that has no answer by then gets a final one then, and what
+// Closing tells that this router ends: a request in hand that has no answer by then gets a final one, and what
 // comes later brings no more time than is left.
 type Closing struct{ Within time.Duration }
 
