--- a/brain/api.go
+++ b/brain/api.go
@@ -227,8 +227,8 @@
 	Silent  []string
 }
 
-// Closing tells that this router ends: a request in hand that has no answer by then gets a final one, and what
-// comes later brings no more time than is left.
+// Closing tells that this router ends: a request in hand that has no answer by then gets a final one, and
+// what comes later brings no more time than is left.
 type Closing struct{ Within time.Duration }
 
 // Woken tells that a Wake has come due.
