--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -352,6 +352,50 @@
 	}
 }
 
+// TestRequestsInPieces: one that comes byte by byte is served, as is one whose body follows its head; one that is cut off in
+// its body, by a close or a reset, goes nowhere.
+func TestRequestsInPieces(t *testing.T) {
+	f, u := serve(t, nil)
+	l := dial(t, f)
+	for _, b := range []byte(request(served, "piece")) {
+		l.write(string(b))
+	}
+	if status, body, _, _ := l.answer(); status != 200 || body != "done piece" {
+		t.Errorf("byte by byte: %d %q", status, body)
+	}
+	in := request(served, "follows")
+	l.write(in[:len(in)-7])
+	until(t, "the head", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for c := range f.conns {
+			if c.begun {
+				return true
+			}
+		}
+		return false
+	})
+	l.write(in[len(in)-7:])
+	if status, body, _, _ := l.answer(); status != 200 || body != "done follows" {
+		t.Errorf("in two: %d %q", status, body)
+	}
+	for n, reset := range []bool{false, true} {
+		cut := dial(t, f)
+		in := request(served, "cut off")
+		cut.write(in[:len(in)-3])
+		if tc, ok := cut.nc.(*net.TCPConn); ok && reset {
+			_ = tc.SetLinger(0)
+		}
+		_ = cut.nc.Close()
+		until(t, "the end", func() bool { s := f.Stats(); return s.Accepted == uint64(n+2) && s.Conns == 1 })
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.seen) != 2 {
+		t.Errorf("%d requests passed on", len(u.seen))
+	}
+}
+
 // TestFloodBehindARequestIsCutOff: what a client sends on and on behind a request in hand is not kept.
 func TestFloodBehindARequestIsCutOff(t *testing.T) {
 	f, _ := serve(t, nil)
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -193,6 +193,32 @@
 	}
 }
 
+// TestReadyByWhatIsKnown: with the channel down and a list of 4,000 workers, the router takes clients and routes by what
+// the configuration holds. The time until then is told, not judged.
+func TestReadyByWhatIsKnown(t *testing.T) {
+	w := &platform.Worker{ID: "w0"}
+	if err := w.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Stop)
+	list := []string{"w0 " + w.Addr() + " active"}
+	for i := range 3999 {
+		list = append(list, fmt.Sprintf("w%d %s leaving", i+1, w.Addr()))
+	}
+	config := file(closedPort(t), `{"cursor":1,"cmds":[{"cursor":1,`+platform.Nodes(true, list...)+`}]}`)
+	began := time.Now()
+	p := startProcess(t, config)
+	resp, err := http.Get("http://" + p.addr + "/ping")
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	_ = resp.Body.Close()
+	t.Logf("ready after %v, %d bytes of configuration", time.Since(began), len(config))
+	if status, _ := p.client().Call(fmt.Sprintf("%016x", 1), "safe", fmt.Sprintf("%016x", 7), 15*time.Second); status != 200 {
+		t.Errorf("status %d", status)
+	}
+}
+
 // TestSignalsToAProcess: SIGTERM right after the start, and again and with SIGHUP during a stop, ends the process well and
 // with every call answered: one in flight, one half sent, and one that comes on an open connection afterwards.
 func TestSignalsToAProcess(t *testing.T) {
--- a/internal/upstream/respback/respback_test.go
+++ b/internal/upstream/respback/respback_test.go
@@ -392,8 +392,14 @@
 }
 
 // TestASendBehindABlockedWriteIsCheckedAgain: a worker does not read, so that one request fills the socket and another
-// waits behind it. By the time that the socket takes bytes again the worker drains: only the first is written.
+// waits behind it. By the time that the socket takes bytes again the worker drains, or the second's client has left: only
+// the first is written.
 func TestASendBehindABlockedWriteIsCheckedAgain(t *testing.T) {
+	t.Run("drains", func(t *testing.T) { blockedWrite(t, false) })
+	t.Run("the client left", func(t *testing.T) { blockedWrite(t, true) })
+}
+
+func blockedWrite(t *testing.T, leaves bool) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -433,11 +439,18 @@
 	st.r.Submit(&router.Call{Function: fn, Class: "c", Left: 30 * time.Second, Client: big,
 		Request: &invoke.Request{ID: strings.Repeat("a", 16), Class: "c", Function: fn, Body: make([]byte, 32<<20)}})
 	until("the first is being written", func(s Stats) bool { return s.Written == 1 })
-	small := st.call(30 * time.Second)
+	var left atomic.Bool
+	small := make(client, 1)
+	st.r.Submit(&router.Call{Function: fn, Class: "c", Left: 30 * time.Second, Client: small, Gone: left.Load,
+		Request: &invoke.Request{ID: strings.Repeat("b", 16), Class: "c", Function: fn}})
 	until("the second waits", func(s Stats) bool { return s.Waiting == 1 })
-	st.list[0].State = brain.Draining
-	st.r.SetWorkers(st.list)
-	st.settle()
+	if leaves {
+		left.Store(true)
+	} else {
+		st.list[0].State = brain.Draining
+		st.r.SetWorkers(st.list)
+		st.settle()
+	}
 	close(read)
 	if f := platform.Await(t, big, "the first's answer"); string(f.Ended.Answer) != "answer" {
 		t.Errorf("%+v", f)
@@ -453,6 +466,100 @@
 	}
 }
 
+// full is a listener whose queue of connections is full, so that further connects hang until room is made.
+func full(t *testing.T) (addr string, room func() net.Listener) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	ln, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = file.Close()
+	t.Cleanup(func() { _ = ln.Close() })
+	var fill []net.Conn
+	for {
+		nc, err := net.DialTimeout("tcp", ln.Addr().String(), 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		if fill = append(fill, nc); len(fill) > 64 {
+			t.Skip("this system takes connections beyond a full queue")
+		}
+	}
+	return ln.Addr().String(), func() net.Listener {
+		for _, nc := range fill {
+			_ = nc.Close()
+			got, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = got.Close()
+		}
+		return ln
+	}
+}
+
+// TestAConnectionThatNeverComesUp: the time-out proves that nothing ran, and the worker never gets the request.
+func TestAConnectionThatNeverComesUp(t *testing.T) {
+	addr, _ := full(t)
+	st := newStage(t, func(c *Config) { c.ConnectTimeout = 50 * time.Millisecond }, &script{to: []string{"w"}})
+	st.list = []roster.Worker{{Member: brain.Member{ID: "w"}, Address: addr}}
+	st.r.SetWorkers(st.list)
+	st.call(20 * time.Second)
+	if o := platform.Await(t, st.s.outcomes, "the outcome"); o.Result != brain.NoConnection {
+		t.Errorf("%+v", o)
+	}
+	if s := st.p.Stats(); s.Written != 0 || s.Conns != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// TestAConnectionThatComesUpLate: the request that waited for it is written, and answered.
+func TestAConnectionThatComesUpLate(t *testing.T) {
+	addr, room := full(t)
+	st := newStage(t, nil, &script{to: []string{"w"}})
+	st.list = []roster.Worker{{Member: brain.Member{ID: "w"}, Address: addr}}
+	st.r.SetWorkers(st.list)
+	c := st.call(20 * time.Second)
+	for range 4000 {
+		if st.p.Stats().Dials == 1 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	ln := room()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for in := bufio.NewReader(nc); ; {
+					m, err := platform.ReadMessage(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(nc, platform.Message(m[1], "ok", "-", "late but whole"))
+				}
+			}()
+		}
+	}()
+	if f := platform.Await(t, c, "the answer"); f.Ended == nil || string(f.Ended.Answer) != "late but whole" {
+		t.Errorf("%+v", f)
+	}
+}
+
 // TestConnectionThatFellSilentWithinAnAnswer: it is ended, and what is open on it may have run.
 func TestConnectionThatFellSilentWithinAnAnswer(t *testing.T) {
 	w := &platform.Worker{ID: "w", Act: raw("*4\r\n$16\r\n")}
