--- a/internal/fake/fakeplatform/discovery.go
+++ b/internal/fake/fakeplatform/discovery.go
@@ -39,9 +39,14 @@
 	respondAtOnce bool
 }
 
-// StartDiscoveryServer starts a discovery server with events, the first of which has revision 1.
+// StartDiscoveryServer starts a discovery server on a free port with events, the first of which has revision 1.
 func StartDiscoveryServer(events ...string) (*DiscoveryServer, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartDiscoveryServerAt("127.0.0.1:0", events...)
+}
+
+// StartDiscoveryServerAt is StartDiscoveryServer at a given address.
+func StartDiscoveryServerAt(address string, events ...string) (*DiscoveryServer, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fake/fakeplatform/worker.go
+++ b/internal/fake/fakeplatform/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,7 @@
 // Worker is a fake worker. Its exported fields are set before Start.
 type Worker struct {
 	ID                string
+	Router            string          // in the records, of what comes to the first address; "": DefaultRouter
 	Records           *invariants.Log // nil: nothing is recorded
 	WorkDuration      time.Duration   // of a request
 	DeduplicatedClass string          // a class of which a request with a known idempotency key is not run again
@@ -35,6 +37,7 @@
 
 	mu           sync.Mutex // guards what follows
 	stopped      bool
+	draining     bool
 	listeners    []net.Listener // the first and those of further routers
 	conns        map[*Conn]struct{}
 	accepted     int // connections since Start
@@ -99,7 +102,7 @@
 	w.stopped = false
 	w.listener, w.listeners, w.arrivals = listener, []net.Listener{listener}, make(chan struct{}, maxUnreadArrivals)
 	w.conns, w.inFlight, w.executedKeys = map[*Conn]struct{}{}, map[string]int{}, map[string]bool{}
-	w.wg.Go(func() { w.accept(listener, DefaultRouter) })
+	w.wg.Go(func() { w.accept(listener, cmp.Or(w.Router, DefaultRouter)) })
 	return nil
 }
 
@@ -230,26 +233,52 @@
 	}
 	switch request.Command {
 	case execCommand:
+		remainingMS, _ := strconv.Atoi(request.Fields[deadlineField])
 		w.Records.Add(invariants.Record{Kind: invariants.AttemptReceived, Router: request.Conn.Router, Call: request.ID, Request: request.Body,
-			Class: request.Fields[classField], Worker: w.ID})
+			Class: request.Fields[classField], Worker: w.ID, Remaining: time.Duration(remainingMS) * time.Millisecond})
 	case ensureCommand:
 		copies, _ := strconv.Atoi(request.Fields[copiesField])
 		w.Records.Add(invariants.Record{Kind: invariants.LoadCommandReceived, Worker: w.ID, Copies: copies, Router: request.Conn.Router})
 	}
 }
 
-// HandleHealthy handles a message as a healthy worker does.
+// SetDraining sets whether the worker drains: it completes what it has and rejects what is new.
+func (w *Worker) SetDraining(draining bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = draining
+}
+
+// Draining reports whether the worker drains.
+func (w *Worker) Draining() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.draining
+}
+
+// HandleHealthy handles a message as a healthy worker does, or as one that drains.
 func (w *Worker) HandleHealthy(r Request) {
-	switch r.Command {
-	case execCommand:
+	draining := w.Draining()
+	loadsNothing := r.Fields[copiesField] == "0"
+	switch {
+	case r.Command == execCommand && draining:
+		r.Conn.WriteMessage(r.ID, "refused", "-", "")
+	case r.Command == execCommand:
 		w.handleExec(r)
-	case ensureCommand:
+	case r.Command == ensureCommand && draining && !loadsNothing:
+		r.Conn.WriteMessage(r.ID, "refused", copiesField+"=0", "")
+	case r.Command == ensureCommand:
 		r.Conn.WriteMessage(r.ID, "ok", copiesField+"="+r.Fields[copiesField], "")
-	case loadCommand, healthCommand:
+	case isHealthCheck(r) && draining:
+		r.Conn.WriteMessage(r.ID, "no", "-", "")
+	case isHealthCheck(r):
 		r.Conn.WriteMessage(r.ID, "yes", "meter=inflight:1", "")
 	}
 }
 
+// isHealthCheck reports whether a message asks for the worker's readiness. A request for the load does so, too.
+func isHealthCheck(r Request) bool { return r.Command == loadCommand || r.Command == healthCommand }
+
 // handleExec runs a request for WorkDuration. The reply reports the requests that the worker holds, and in "company"
 // how many others of the function it held when the request came.
 func (w *Worker) handleExec(r Request) {
--- a/internal/invariants/check.go
+++ b/internal/invariants/check.go
@@ -28,6 +28,8 @@
 type Settings struct {
 	Classes           map[string]Class
 	ResponseGrace     time.Duration      // a final answer may reach its client this long after the deadline
+	LeaveGrace        time.Duration      // an attempt may begin this long after its client left; 0: not checked
+	DeadlineSlack     time.Duration      // a worker may be told this much more than the client has left; 0: not checked
 	DrainGrace        time.Duration      // attempts may start this long after a worker was reported as draining
 	Capacity          map[string]float64 // by worker, once it is warm, in cores of speed 1
 	SlowStartShare    float64            // fraction of its capacity that a worker has when it starts
@@ -51,9 +53,10 @@
 
 // Violation is one breach of a rule.
 type Violation struct {
-	Rule int // one of the constants above
-	At   time.Duration
-	Text string
+	Rule   int // one of the constants above
+	At     time.Duration
+	Text   string
+	Record Record // the one that shows the breach
 }
 
 func (v Violation) String() string {
@@ -90,6 +93,7 @@
 	violations []Violation
 }
 
-func (c *checker) report(rule int, at time.Duration, format string, args ...any) {
-	c.violations = append(c.violations, Violation{rule, at, fmt.Sprintf(format, args...)})
+// report adds a violation that a record shows, at a time that may lie after the record's.
+func (c *checker) report(rule int, shownBy Record, at time.Duration, format string, args ...any) {
+	c.violations = append(c.violations, Violation{Rule: rule, At: at, Text: fmt.Sprintf(format, args...), Record: shownBy})
 }
--- a/internal/invariants/check_test.go
+++ b/internal/invariants/check_test.go
@@ -25,6 +25,8 @@
 		LoadRateBurst:     2,
 		LoadRateRatio:     0.1,
 		RecordingDelay:    50 * ms,
+		LeaveGrace:        100 * ms,
+		DeadlineSlack:     150 * ms,
 	}
 }
 
@@ -138,6 +140,21 @@
 			finalAnswer(9*ms, "a", "quote", Rejected),
 			atWorker(200*ms, AttemptReceived, "a", "quote", "w"),
 		}},
+		{"forwarded while the router may not know that its client left", 0, []Record{
+			callSent(1*ms, "a", "quote"),
+			{At: 50 * ms, Kind: CallAbandoned, Call: "a"},
+			atWorker(190*ms, AttemptReceived, "a", "quote", "w"),
+		}},
+		{"forwarded after its client left", RuleFinalAnswer, []Record{
+			callSent(1*ms, "a", "quote"),
+			{At: 50 * ms, Kind: CallAbandoned, Call: "a"},
+			atWorker(210*ms, AttemptReceived, "a", "quote", "w"),
+		}},
+		{"forwarded with more time than the client has left", RuleFinalAnswer, []Record{
+			callSent(1*ms, "a", "quote"),
+			{At: 2 * ms, Kind: AttemptReceived, Call: "a", Class: "quote", Worker: "w", Remaining: 1300 * ms},
+			finalAnswer(9*ms, "a", "quote", Served),
+		}},
 	})
 }
 
--- a/internal/invariants/drains.go
+++ b/internal/invariants/drains.go
@@ -48,7 +48,7 @@
 func (c *checker) checkDrain(r Record, n notification, sources ...drainTimes) {
 	for _, source := range sources {
 		if at, ok := source[n]; ok && r.At > at+c.settings.DrainGrace+c.settings.RecordingDelay {
-			c.report(RuleDrain, r.At, "%s sent to %s %v after it was notified of the drain", r.Router, r.Worker, r.At-at)
+			c.report(RuleDrain, r, r.At, "%s sent to %s %v after it was notified of the drain", r.Router, r.Worker, r.At-at)
 			return
 		}
 	}
--- a/internal/invariants/final_answers.go
+++ b/internal/invariants/final_answers.go
@@ -10,6 +10,7 @@
 	sent, answered Record // answered: the first final answer
 	answers        int
 	abandoned      bool
+	abandonedAt    time.Duration
 }
 
 // checkFinalAnswers checks rule 1: a call that a running router accepted gets exactly one final answer before the
@@ -41,7 +42,7 @@
 		call := calls[id]
 		killed := slices.ContainsFunc(killedAt[call.sent.Router], func(at time.Duration) bool { return at >= call.sent.At })
 		if call.answers == 0 && !call.abandoned && !killed {
-			c.report(RuleFinalAnswer, call.sent.Deadline, "call %s of class %s got no final answer", id, call.sent.Class)
+			c.report(RuleFinalAnswer, call.sent, call.sent.Deadline, "call %s of class %s got no final answer", id, call.sent.Class)
 		}
 	}
 }
@@ -51,22 +52,42 @@
 	switch r.Kind {
 	case FinalAnswer:
 		if call.answers++; call.answers > 1 {
-			c.report(RuleFinalAnswer, r.At, "call %s got another final answer", r.Call)
+			c.report(RuleFinalAnswer, r, r.At, "call %s got another final answer", r.Call)
 			return
 		}
 		call.answered = r
 		if r.At > call.sent.Deadline+c.settings.ResponseGrace {
-			c.report(RuleFinalAnswer, r.At, "call %s answered %v after its deadline", r.Call, r.At-call.sent.Deadline)
+			c.report(RuleFinalAnswer, r, r.At, "call %s answered %v after its deadline", r.Call, r.At-call.sent.Deadline)
 		}
 	case CallAbandoned:
 		call.abandoned = true
+		call.abandonedAt = r.At
 	case AttemptReceived:
 		if call.answers > 0 && r.At > call.answered.At+c.settings.RecordingDelay {
-			c.report(RuleFinalAnswer, r.At, "call %s forwarded to %s after its final answer", r.Call, r.Worker)
+			c.report(RuleFinalAnswer, r, r.At, "call %s forwarded to %s after its final answer", r.Call, r.Worker)
 		}
+		c.checkClientWaits(call, r)
+		c.checkRemaining(call, r)
 	case CallSent, RouterKilled:
 		// taken up before, by checkFinalAnswers
 	case RunStarted, LoadCommandReceived, EndpointNotified, WorkerDraining, WorkerReady, WorkerStarted, WorkerOverloaded:
 		// not part of a call's answer
 	}
 }
+
+// checkClientWaits checks that an attempt does not begin after its client has left.
+func (c *checker) checkClientWaits(call *callState, r Record) {
+	limit := c.settings.LeaveGrace
+	if limit > 0 && call.abandoned && r.At > call.abandonedAt+limit+c.settings.RecordingDelay {
+		c.report(RuleFinalAnswer, r, r.At, "call %s forwarded to %s %v after its client left", r.Call, r.Worker, r.At-call.abandonedAt)
+	}
+}
+
+// checkRemaining checks that a worker is told no more time than the client has left.
+func (c *checker) checkRemaining(call *callState, r Record) {
+	slack := c.settings.DeadlineSlack
+	if slack > 0 && r.At+r.Remaining > call.sent.Deadline+slack+c.settings.RecordingDelay {
+		c.report(RuleFinalAnswer, r, r.At, "call %s forwarded to %s with %v left, %v after its deadline", r.Call, r.Worker,
+			r.Remaining, r.At+r.Remaining-call.sent.Deadline)
+	}
+}
--- a/internal/invariants/load_rate.go
+++ b/internal/invariants/load_rate.go
@@ -28,7 +28,7 @@
 			received := countWithin(calls[router], at-window-c.settings.RecordingDelay, at)
 			limit := c.settings.LoadRateBurst + c.settings.LoadRateRatio*float64(received)
 			if float64(loads) > limit {
-				c.report(RuleLoadRate, at, "%s sent %d load commands within %v, at most %.1f", router, loads, window, limit)
+				c.report(RuleLoadRate, Record{At: at, Kind: LoadCommandReceived, Router: router}, at, "%s sent %d load commands within %v, at most %.1f", router, loads, window, limit)
 			}
 		}
 	}
--- a/internal/invariants/record.go
+++ b/internal/invariants/record.go
@@ -47,6 +47,7 @@
 	Worker      string
 	Answer      Answer
 	Deadline    time.Duration // of CallSent: when the client gives up
+	Remaining   time.Duration // of AttemptReceived: how long the router will wait, as the worker was told
 	Copies      int           // of LoadCommandReceived; 0: the state is asked for, nothing is to be loaded
 	Unavailable bool          // of EndpointNotified: draining or removed
 }
--- a/internal/invariants/side_effects.go
+++ b/internal/invariants/side_effects.go
@@ -11,14 +11,14 @@
 		}
 		runs[r.Call]++
 		for _, worker := range ranAt[r.Request] {
-			c.report(RuleSideEffect, r.At, "%s request %s ran at %s and again at %s", r.Class, r.Request, worker, r.Worker)
+			c.report(RuleSideEffect, r, r.At, "%s request %s ran at %s and again at %s", r.Class, r.Request, worker, r.Worker)
 		}
 		ranAt[r.Request] = append(ranAt[r.Request], r.Worker)
 	}
 	for _, r := range c.records {
 		rejected := r.Kind == FinalAnswer && r.Answer == Rejected
 		if rejected && runs[r.Call] > 0 && !c.settings.Classes[r.Class].RetryHarmless {
-			c.report(RuleSideEffect, r.At, "%s call %s ran and was rejected", r.Class, r.Call)
+			c.report(RuleSideEffect, r, r.At, "%s call %s ran and was rejected", r.Class, r.Call)
 		}
 	}
 }
--- a/internal/invariants/slow_start.go
+++ b/internal/invariants/slow_start.go
@@ -35,7 +35,7 @@
 		case WorkerStarted:
 			starts[r.Worker] = &workerStart{at: r.At}
 		case WorkerOverloaded:
-			c.report(RuleSlowStart, r.At, "worker %s failed under load while it warmed up", r.Worker)
+			c.report(RuleSlowStart, r, r.At, "worker %s failed under load while it warmed up", r.Worker)
 		case AttemptReceived:
 			start := starts[r.Worker]
 			if start == nil || r.At-start.at > c.settings.SlowStartDuration || start.reported {
@@ -64,6 +64,6 @@
 		return
 	}
 	start.reported = true
-	c.report(RuleSlowStart, r.At, "worker %s got %.2f s of work within %v while it warmed up, at most %.2f s", r.Worker, sum,
+	c.report(RuleSlowStart, r, r.At, "worker %s got %.2f s of work within %v while it warmed up, at most %.2f s", r.Worker, sum,
 		s.OverloadWindow, limit)
 }
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// FaultKind is a kind of fault.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	DiscoveryRefused   FaultKind = "discovery-refused"   // connections are closed and refused
+	DiscoverySilent    FaultKind = "discovery-silent"    // polls are accepted and not answered
+	DiscoverySlow      FaultKind = "discovery-slow"      // responses take 2 s
+	DiscoveryCut       FaultKind = "discovery-cut"       // responses end in the middle of an event
+	DiscoveryGarbage   FaultKind = "discovery-garbage"   // responses are not JSON
+	DiscoveryCrowded   FaultKind = "discovery-crowded"   // seven of eight polls get status 503
+	DiscoveryMoved     FaultKind = "discovery-moved"     // to another address, with SIGHUP to every router
+	DiscoveryRestarted FaultKind = "discovery-restarted" // it numbers its events from 1 again
+	WorkerDrained      FaultKind = "worker-drained"      // drains, is removed, and comes back cold at its address
+	WorkerKilled       FaultKind = "worker-killed"       // its connections are reset; it comes back cold
+	WorkerHung         FaultKind = "worker-hung"         // accepts requests and answers nothing
+	WorkerVanished     FaultKind = "worker-vanished"     // its connections fall silent, health checks too
+	WorkerReplaced     FaultKind = "worker-replaced"     // by another one, with another id, at its address
+	WorkerSlow         FaultKind = "worker-slow"         // requests take ten times as long
+	WorkerResets       FaultKind = "worker-resets"       // its connections are reset several times
+	RouterTerminated   FaultKind = "router-terminated"   // SIGTERM, and SIGKILL as early as the platform may send it
+	RouterKilled       FaultKind = "router-killed"       // SIGKILL
+	RouterStopped      FaultKind = "router-stopped"      // SIGSTOP, then SIGCONT
+	RouterReloaded     FaultKind = "router-reloaded"     // SIGHUP four times in a row, with the same configuration
+	TrafficBurst       FaultKind = "traffic-burst"       // three times as many calls
+	ClientsLeave       FaultKind = "clients-leave"       // one client in five closes its connection early
+)
+
+// Fault is one fault of a schedule.
+type Fault struct {
+	Kind     FaultKind
+	At       time.Duration // since the traffic began
+	Duration time.Duration
+	Target   int // index of the worker or router that is concerned, if one is
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s@%v+%v#%d", f.Kind, f.At.Round(time.Millisecond), f.Duration.Round(time.Millisecond), f.Target)
+}
+
+// Schedule is what a run plays.
+type Schedule struct {
+	Seed         uint64
+	Routers      int
+	Workers      int
+	CallRate     float64       // calls a second to each router
+	Duration     time.Duration // of the traffic
+	Settings     Settings
+	Faults       []Fault
+	MinServed    float64 // the share of the calls that has to be served
+	FunctionSkew float64 // exponent of the functions' Zipf distribution, above 1
+}
+
+// Settings are what the routers are told, as far as schedules differ in it.
+type Settings struct {
+	DrainGrace          time.Duration
+	Deadline            time.Duration // of every call and class
+	HealthChecksAllowed bool
+	LoadsOnMiss         bool // workers load functions by themselves
+}
+
+func (s Schedule) String() string {
+	faults := make([]string, len(s.Faults))
+	for i, fault := range s.Faults {
+		faults[i] = fault.String()
+	}
+	return fmt.Sprintf("seed %d: %d routers, %d workers, %.0f calls/s each, %v, drain grace %v, deadline %v, health checks %v: %s",
+		s.Seed, s.Routers, s.Workers, s.CallRate, s.Duration, s.Settings.DrainGrace, s.Settings.Deadline,
+		s.Settings.HealthChecksAllowed, strings.Join(faults, " "))
+}
+
+// concernsDiscovery reports whether routers can't rely on discovery while the fault lasts.
+func (k FaultKind) concernsDiscovery() bool { return strings.HasPrefix(string(k), "discovery-") }
