--- a/dispatch/acceptance.go
+++ b/dispatch/acceptance.go
@@ -45,10 +45,14 @@
 	}
 	w := d.selectWorker(r)
 	switch {
+	case w == nil && d.isUnservable() && r.inFlight == 0:
+		d.finishUnserved(r)
 	case w == nil:
 		if r.inFlight == 0 {
 			d.pending = append(d.pending, r)
 		}
+	case !d.holdsLease(w):
+		d.awaitLease(r, w)
 	case d.loadInProgress(r.function, w):
 		d.awaitLoad(r, r.function.ensurePlacement(w))
 	case d.drawLoadReportWait(r, w):
--- a/dispatch/actions.go
+++ b/dispatch/actions.go
@@ -10,6 +10,9 @@
 	ID      RequestID
 	Worker  string
 	Timeout time.Duration // 0: until the request's deadline
+	// SendBefore is the time, on the clock of Step, before which the first byte has to be written; the attempt is not sent
+	// later, and ends as NotSent. 0: there is no such time.
+	SendBefore time.Duration
 }
 
 // CancelAttempt stops waiting for one attempt; its AttemptEnded still comes.
@@ -30,13 +33,23 @@
 // LoadFunction commands a worker to hold Copies of a function; 0 only asks how many it holds. It is answered by a
 // FunctionLoaded.
 type LoadFunction struct {
-	Worker   string
-	Function string
-	Copies   int
+	Worker     string
+	Function   string
+	Copies     int
+	SendBefore time.Duration // as of StartAttempt
 }
 
 // CheckHealth sends a health check to a worker. It is answered by a HealthChecked.
-type CheckHealth struct{ Worker string }
+type CheckHealth struct {
+	Worker   string
+	ForLease bool // it is to show whether the worker drains, as the endpoint list is not believed
+}
+
+// EndpointListStateChanged says that the endpoint list is believed no longer, or again.
+type EndpointListStateChanged struct {
+	Current bool
+	Age     time.Duration // since the list was last confirmed
+}
 
 // SubscribeEndpoints subscribes to changes of the endpoint list.
 type SubscribeEndpoints struct{}
@@ -56,13 +69,14 @@
 // LogNote is a line for the log.
 type LogNote struct{ Text string }
 
-func (StartAttempt) action()       {}
-func (CancelAttempt) action()      {}
-func (RejectRequest) action()      {}
-func (FailRequest) action()        {}
-func (LoadFunction) action()       {}
-func (CheckHealth) action()        {}
-func (SubscribeEndpoints) action() {}
-func (SetTimer) action()           {}
-func (ReportSuspicion) action()    {}
-func (LogNote) action()            {}
+func (StartAttempt) action()             {}
+func (CancelAttempt) action()            {}
+func (RejectRequest) action()            {}
+func (FailRequest) action()              {}
+func (LoadFunction) action()             {}
+func (CheckHealth) action()              {}
+func (EndpointListStateChanged) action() {}
+func (SubscribeEndpoints) action()       {}
+func (SetTimer) action()                 {}
+func (ReportSuspicion) action()          {}
+func (LogNote) action()                  {}
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -6,7 +6,7 @@
 
 // startAttempt forwards a request to a worker, if the rules allow it. There is no other way to start one.
 func (d *Dispatcher) startAttempt(r *request, w *worker) {
-	if !d.admitAttempt(r, w) {
+	if !d.admitAttempt(r, w) || !d.holdsLease(w) {
 		return
 	}
 	a := d.newAttempt(r, w)
@@ -17,7 +17,7 @@
 		d.retryBudget--
 	}
 	w.slowStartTokens -= r.class.meanWork
-	d.emit(StartAttempt{ID: r.ID, Worker: w.ID})
+	d.emit(StartAttempt{ID: r.ID, Worker: w.ID, SendBefore: d.sendBefore(w)})
 }
 
 // newAttempt returns an attempt with what is expected of it.
@@ -56,6 +56,7 @@
 	r.needsAttempt = false
 	a.firstMessageAfter = max(e.Duration, 1)
 	d.markResponsive(a.worker)
+	d.renewLease(a.worker, a.startedAt)
 	a.worker.removeAttempt(a)
 }
 
@@ -108,6 +109,7 @@
 	p := a.request.function.ensurePlacement(w)
 	switch e.Result {
 	case OK:
+		d.renewLease(w, a.startedAt)
 		d.recordResponse(a, e)
 		d.recordClassServed(w, a.request.class)
 		p.residentUntil = max(p.residentUntil, d.now+d.settings.IdleResidency)
@@ -115,12 +117,14 @@
 	case NotResident:
 		p.residentUntil = 0
 	case Rejected:
+		d.endLease(w)
 		if classFault || a.expectedResident {
 			d.lowerLimit(w)
 		} else {
 			d.backOffLoads(p) // no memory for a load, more likely than a full queue
 		}
 	case ConnectFailed, ConnectionReset:
+		d.loseContact(w)
 		d.suspect(w)
 	case Errored, TimedOut, Cancelled, NotSent:
 		// An error counts in isClassFault, a timeout in countTimeout; the others tell nothing of the worker.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,8 +53,10 @@
 
 // Step takes the events up to now and returns what to do about them.
 func (d *Dispatcher) Step(now time.Duration, events []Event) []Action {
+	lastStep := d.now
 	d.now = max(now, d.now)
 	d.actions = nil
+	d.detectPause(lastStep)
 	if !d.started {
 		d.started = true
 		d.lastRebalance = d.now
@@ -63,6 +65,7 @@
 	for _, e := range events {
 		d.handle(e)
 	}
+	d.updateListState()
 	for d.timers.due(d.now) {
 		if r := d.requests[d.timers.pop()]; r != nil {
 			d.requestTimerFired(r)
@@ -82,6 +85,10 @@
 	switch e := e.(type) {
 	case EndpointUpdate:
 		d.updateEndpoints(e)
+	case EndpointListConfirmed:
+		d.confirmList(e)
+	case EndpointListAskedAgain:
+		d.list.askedAgainAt = d.now
 	case Request:
 		d.acceptRequest(e)
 	case AttemptEnded:
@@ -123,7 +130,7 @@
 
 // setTimer asks for the next Step, unless the timer in force comes early enough.
 func (d *Dispatcher) setTimer() {
-	next := d.lastRebalance + rebalanceInterval
+	next := min(d.lastRebalance+rebalanceInterval, d.now+d.maxStepInterval())
 	if at, ok := d.timers.next(); ok {
 		next = min(next, at)
 	}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -120,10 +120,19 @@
 type HealthChecked struct {
 	Worker     string
 	Result     Result
+	Draining   bool // of an OK: the worker answered that it takes nothing new
 	Duration   time.Duration
 	LoadReport LoadReport
 }
 
+// EndpointListConfirmed says that the endpoint list held all changes up to At. A caller that reports this once has to do so
+// regularly, and with EndpointListAskedAgain: without them the list is no longer believed. One that never does is taken
+// to have a list that is always complete.
+type EndpointListConfirmed struct{ At time.Duration }
+
+// EndpointListAskedAgain says that the list is asked for again, after a failure.
+type EndpointListAskedAgain struct{}
+
 // EndpointUpdate brings the endpoint list, or what changed in it.
 type EndpointUpdate struct {
 	Snapshot         bool // the list is complete: a worker that is absent has been removed
@@ -144,13 +153,15 @@
 // TimerFired says that a SetTimer has run out.
 type TimerFired struct{}
 
-func (Request) event()          {}
-func (AttemptEnded) event()     {}
-func (RequestCancelled) event() {}
-func (ResponseStarted) event()  {}
-func (FunctionLoaded) event()   {}
-func (HealthChecked) event()    {}
-func (EndpointUpdate) event()   {}
-func (GossipUpdate) event()     {}
-func (ShutdownStarted) event()  {}
-func (TimerFired) event()       {}
+func (Request) event()                {}
+func (AttemptEnded) event()           {}
+func (RequestCancelled) event()       {}
+func (ResponseStarted) event()        {}
+func (FunctionLoaded) event()         {}
+func (HealthChecked) event()          {}
+func (EndpointListConfirmed) event()  {}
+func (EndpointListAskedAgain) event() {}
+func (EndpointUpdate) event()         {}
+func (GossipUpdate) event()           {}
+func (ShutdownStarted) event()        {}
+func (TimerFired) event()             {}
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -41,13 +41,13 @@
 
 // commandLoad sends a load command, unless one is in flight, and reports whether a load is in progress. It
 // keeps to the backoff after a failed load, to the bound of commands in flight and to the given fraction of
-// the rate limit, and sends none to a worker that is not active. There is no other way to send a load
+// the rate limit, and sends none to a worker that is not active or holds no lease. There is no other way to send a load
 // command.
 func (d *Dispatcher) commandLoad(f *function, w *worker, limitFraction float64) bool {
 	if f.placementOn(w).loadCommandedAt > 0 {
 		return true
 	}
-	if !d.settings.LoadCommandsAllowed || w.State != EndpointActive {
+	if !d.settings.LoadCommandsAllowed || w.State != EndpointActive || !d.holdsLease(w) {
 		return false
 	}
 	backingOff := d.now < f.placementOn(w).loadBackoffUntil
@@ -56,7 +56,7 @@
 	}
 	f.ensurePlacement(w).loadCommandedAt = d.now
 	w.pendingLoads++
-	d.emit(LoadFunction{Worker: w.ID, Function: f.key, Copies: 1})
+	d.emit(LoadFunction{Worker: w.ID, Function: f.key, Copies: 1, SendBefore: d.sendBefore(w)})
 	return true
 }
 
@@ -93,6 +93,9 @@
 	if w != nil && (e.Result == OK || e.Result == Rejected || e.Result == Errored) {
 		d.markResponsive(w)
 	}
+	if w != nil && e.Result == Rejected {
+		d.endLease(w)
+	}
 	if w == nil || f == nil || f.placementOn(w).loadCommandedAt == 0 {
 		return // forgotten, or commanded before the worker was restarted
 	}
--- a/dispatch/loadreports.go
+++ b/dispatch/loadreports.go
@@ -60,6 +60,7 @@
 	if w == nil {
 		return
 	}
+	d.leaseChecked(w, e)
 	if e.Result == OK {
 		d.markResponsive(w)
 		if e.LoadReport.InFlight >= 0 {
--- a/dispatch/selection.go
+++ b/dispatch/selection.go
@@ -26,9 +26,11 @@
 	limited           bool    // a worker was passed over at its concurrency limit,
 	residentLimited   bool    // and one of these holds the function
 	backingOff        bool    // a worker was passed over because a load failed there
+	unleased          *worker // the first that may take the request once a health check has renewed its lease
+	unleasedResident  bool    // that one holds the function
 }
 
-// selectWorker chooses where a request goes; nil: nowhere for now. Where the preferred worker does not hold
+// selectWorker chooses where a request goes; nil: nowhere for now. A worker without a lease has to be checked first. Where the preferred worker does not hold
 // the function and another does, the first is sent a load command and the second serves: no request waits for
 // a load because an assignment moved or grew.
 func (d *Dispatcher) selectWorker(r *request) *worker {
@@ -37,14 +39,36 @@
 	s.avoidOverloaded = d.random.Float64() < max(d.residentChance, 1/d.fleetShare)
 	d.drawAssignmentOrder(r.function)
 	for w := range d.candidates(r.function) {
-		if d.admitAttempt(r, w) && d.evaluateCandidate(&s, w) {
+		if !d.admitAttempt(r, w) {
+			continue
+		}
+		if !d.holdsLease(w) {
+			d.evaluateUnleased(&s, w)
+			continue
+		}
+		if d.evaluateCandidate(&s, w) {
 			d.prefetch(&s)
 			return w
 		}
 	}
+	if s.unleased != nil {
+		return s.unleased
+	}
 	return d.selectWithoutResident(&s)
 }
 
+// evaluateUnleased notes a worker that holds no lease, if it is worth a health check: it holds the function, or nothing
+// better came before it in the order of choice.
+func (d *Dispatcher) evaluateUnleased(s *selection, w *worker) {
+	resident := d.now < s.request.function.placementOn(w).residentUntil
+	isFirst := s.unleased == nil && s.preferred == nil && s.fallback == nil
+	isFirstResident := resident && !s.unleasedResident
+	if (isFirst || isFirstResident) && d.mayCheckLease(s.request, w) {
+		s.unleased = w
+		s.unleasedResident = resident
+	}
+}
+
 // prefetch commands a load at the preferred worker, for the requests to come: another worker serves this one.
 func (d *Dispatcher) prefetch(s *selection) {
 	if s.preferred != nil && d.settings.LoadCommandsAllowed {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -18,6 +18,7 @@
 	timers   timers
 	timerDue time.Duration // of the SetTimer in force; 0: none
 
+	list            endpointList
 	workers         map[string]*worker
 	activeWorkers   []*worker          // those that attempts may go to, sorted by id
 	suspectedCount  int                // of activeWorkers
@@ -62,5 +63,14 @@
 	retryBudget float64 // retries that may still be started
 }
 
+// endpointList is what is known of how current the endpoint list is.
+type endpointList struct {
+	tracked      bool          // the caller reports on it
+	confirmedAt  time.Duration // the list held all changes up to then
+	askedAgainAt time.Duration // when it was last asked for again after a failure
+	pausedUntil  time.Duration // when the process last went on after a pause
+	expired      bool          // the list is not believed, as was last reported
+}
+
 // seconds converts to a duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -28,6 +28,8 @@
 	loadExcess       float64       // logarithm of what it reports over what the others report
 	awaitingReport   []*request    // requests that wait for its next load report
 
+	lease workerLease
+
 	attempts          []*attempt // of this router, in flight, oldest first
 	inFlight          float64    // their weights
 	concurrencyLimit  float64    // for inFlight
@@ -39,6 +41,15 @@
 	tokensUpdatedAt time.Duration // when slowStartTokens was brought up to date
 }
 
+// workerLease is what shows that a worker does not drain, beside the endpoint list.
+type workerLease struct {
+	activeAt      time.Duration // the newest time at which it is known not to have drained; 0: none
+	lostContactAt time.Duration // when a connection to it last failed, or it said that it drains
+	checkedAt     time.Duration // when the last health check for the lease was sent; 0: none, or it was answered
+	checkInFlight bool
+	awaiting      []*request // requests that wait for that health check
+}
+
 // ejection keeps a class from a worker.
 type ejection struct {
 	until               time.Duration
@@ -65,13 +76,7 @@
 		return
 	}
 	for _, w := range forgotten {
-		d.pending = append(d.pending, w.awaitingReport...)
-		for _, f := range d.functionsInOrder {
-			if p := f.placements[w]; p != nil {
-				d.pending = append(d.pending, p.awaitingLoad...)
-				delete(f.placements, w)
-			}
-		}
+		d.releaseWaiting(w)
 		w.forgotten = true
 		delete(d.workers, w.ID)
 		delete(d.removedWorkers, w.ID)
@@ -81,6 +86,20 @@
 	}
 }
 
+// releaseWaiting moves the requests that wait for a worker to the pending ones, and drops its placements.
+func (d *Dispatcher) releaseWaiting(w *worker) {
+	d.pending = append(d.pending, w.awaitingReport...)
+	d.pending = append(d.pending, w.lease.awaiting...)
+	w.awaitingReport = nil
+	w.lease.awaiting = nil
+	for _, f := range d.functionsInOrder {
+		if p := f.placements[w]; p != nil {
+			d.pending = append(d.pending, p.awaitingLoad...)
+			delete(f.placements, w)
+		}
+	}
+}
+
 // removeAttempt takes a out of the attempts in flight at its worker.
 func (w *worker) removeAttempt(a *attempt) {
 	w.attempts = slices.DeleteFunc(w.attempts, func(other *attempt) bool { return other == a })
--- a/internal/discovery/eventlog.go
+++ b/internal/discovery/eventlog.go
@@ -13,6 +13,10 @@
 // ErrEventGap reports that events between the last one applied and those of a response are missing.
 var ErrEventGap = errors.New("discovery: events are missing")
 
+// ErrRevisionRegressed reports that the server's revision is lower than that of the last event applied: it was restarted, and
+// numbers its events anew.
+var ErrRevisionRegressed = errors.New("discovery: revision is lower than before")
+
 // startTimeConverter converts the start time of an endpoint to the router's clock.
 type startTimeConverter func(id string, startedAt wallclock.Time) time.Duration
 
--- /dev/null
+++ b/internal/discovery/freshness_test.go
@@ -0,0 +1,180 @@
+package discovery
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/topazfront/topazfront/internal/endpoints"
+	"github.com/topazfront/topazfront/internal/fake/fakeplatform"
+	"github.com/topazfront/topazfront/internal/testsupport"
+	"github.com/topazfront/topazfront/internal/testsupport/platformtest"
+)
+
+// TestWhenResponseProvesListCurrent holds when the list was current by a response. A response without events was written when
+// the poll's wait was over, however late it is read. One with events may have been written right after the poll was sent.
+func TestWhenResponseProvesListCurrent(t *testing.T) {
+	const wait = time.Second
+	for _, test := range []struct {
+		name      string
+		readAfter time.Duration
+		hasEvents bool
+		want      time.Duration // after the poll was sent
+	}{
+		{"no event, read at once after the wait", wait + time.Millisecond, false, wait},
+		{"no event, read after a pause of the process", time.Minute, false, wait},
+		{"no event, before the wait was over", wait / 2, false, 0},
+		{"events", wait / 2, true, 0},
+		{"events, read after a pause of the process", time.Minute, true, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			asked := question{at: time.Now().Add(-test.readAfter), wait: wait}
+			if got := asked.currentAt(test.hasEvents).Sub(asked.at); got != test.want {
+				t.Errorf("current %v after the poll was sent, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// steppingClock is a RouterClock of its own time.
+type steppingClock struct {
+	zeroClock
+	startedAt time.Time
+}
+
+func (c steppingClock) Clock() time.Duration { return time.Since(c.startedAt) }
+
+// watchReports records what a Watcher reports, in order.
+type watchReports struct {
+	mu      sync.Mutex
+	reports []string
+}
+
+func (r *watchReports) add(report string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reports = append(r.reports, report)
+}
+
+// last returns the last report.
+func (r *watchReports) last() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reports[len(r.reports)-1]
+}
+
+func (r *watchReports) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Join(r.reports, " ")
+}
+
+// startReportingWatcher starts a Watcher that records its updates, confirmations and polls after a failure.
+func startReportingWatcher(t *testing.T, server *fakeplatform.DiscoveryServer) (*Watcher, *watchReports) {
+	t.Helper()
+	reports := &watchReports{}
+	cfg := watcherConfig(server.Addr(), func(endpoints.Update) { reports.add("update") })
+	cfg.RouterClock = steppingClock{startedAt: time.Now()}
+	cfg.OnConfirmed = func(time.Duration) { reports.add("confirmed") }
+	cfg.OnAskedAgain = func() { reports.add("asked-again") }
+	return startWatcherWith(t, cfg, server.AllEvents()), reports
+}
+
+// TestFailuresAreReported has polls fail for a while. The list is not confirmed meanwhile; each further poll is reported
+// before it is sent; the first answer confirms the list, after the update that it brings.
+func TestFailuresAreReported(t *testing.T) {
+	for name, respond := range map[string]func(int, string) (string, bool){
+		"never answered": func(int, string) (string, bool) { return "", true },
+		"cut off":        func(int, string) (string, bool) { return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{", false },
+		"crowded":        func(int, string) (string, bool) { return "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := platformtest.StartDiscovery(t, initialEndpoints)
+			watcher, reports := startReportingWatcher(t, server)
+			testsupport.WaitUntil(t, "the first poll", func() bool { return len(server.Polls()) > 0 })
+			server.SetRespond(respond)
+			testsupport.WaitUntil(t, "failed polls", func() bool { return watcher.Stats().FailedPolls > 2 })
+			if report := reports.last(); report != "asked-again" {
+				t.Errorf("%s, want polls after failures only", reports)
+			}
+			server.AddEvent(fakeplatform.EndpointsEvent(false, "c 1.1.1.3:1 active"))
+			server.SetRespond(nil)
+			testsupport.WaitUntil(t, "the update", func() bool {
+				return strings.Contains(reports.String(), "asked-again update confirmed")
+			})
+		})
+	}
+}
+
+// TestFirstPollAfterFailureIsShort checks that the list is confirmed soon after a failure, although nothing has changed.
+func TestFirstPollAfterFailureIsShort(t *testing.T) {
+	server := platformtest.StartDiscovery(t, initialEndpoints)
+	confirmed := make(chan struct{}, 64)
+	cfg := watcherConfig(server.Addr(), func(endpoints.Update) {})
+	cfg.PollWait = longPollWait
+	cfg.OnConfirmed = func(time.Duration) { confirmed <- struct{}{} }
+	startWatcherWith(t, cfg, server.AllEvents())
+	testsupport.Await(t, confirmed, "the confirmation at the start")
+	awaitRevision(t, server, 1)
+	server.Suspend()
+	if err := server.Resume(); err != nil {
+		t.Skip("the address was taken by another process:", err)
+	}
+	resumedAt := time.Now()
+	testsupport.Await(t, confirmed, "the confirmation after the failure")
+	if took := time.Since(resumedAt); took > longPollWait/2 {
+		t.Errorf("confirmed after %v", took)
+	}
+}
+
+// awaitRevision waits for a poll from a revision.
+func awaitRevision(t *testing.T, server *fakeplatform.DiscoveryServer, revision int) {
+	t.Helper()
+	for {
+		if got := testsupport.Await(t, server.Polls(), "a poll"); got == revision {
+			return
+		}
+	}
+}
+
+// TestRestartedServerIsReadFromTheBeginning has the server forget its events and number them anew. The watcher does not take
+// the lower revision for a confirmation, asks for the complete list and applies it. From then on it follows the new numbers.
+func TestRestartedServerIsReadFromTheBeginning(t *testing.T) {
+	list := endpointList{}
+	lists := make(chan string, 64)
+	first := platformtest.StartDiscovery(t, initialEndpoints, fakeplatform.EndpointsEvent(false, "c 1.1.1.3:1 active"),
+		fakeplatform.EndpointsEvent(false, "d 1.1.1.4:1 active"))
+	second := platformtest.StartDiscovery(t, fakeplatform.EndpointsEvent(true, "a 1.1.1.1:1 active", "e 1.1.1.5:1 active"))
+	watcher := startWatcherWith(t, watcherConfig(first.Addr(), func(update endpoints.Update) {
+		list.apply(&update)
+		lists <- list.String()
+	}), first.AllEvents())
+	testsupport.Await(t, lists, "the initial list")
+	watcher.SetAddress(second.Addr())
+	if got := testsupport.Await(t, lists, "the list of the restarted server"); got != "a@1.1.1.1:1, e@1.1.1.5:1" {
+		t.Errorf("list %s", got)
+	}
+	second.AddEvent(fakeplatform.EndpointsEvent(false, "a 1.1.1.1:1 leaving"))
+	if got := testsupport.Await(t, lists, "its next event"); got != "a@1.1.1.1:1 drains, e@1.1.1.5:1" {
+		t.Errorf("list %s", got)
+	}
+}
+
+// TestCompleteListBeginsWithSnapshot checks that a server whose events don't continue the log, and which has no snapshot
+// either, changes nothing.
+func TestCompleteListBeginsWithSnapshot(t *testing.T) {
+	server := platformtest.StartDiscovery(t, initialEndpoints)
+	watcher, reports := startReportingWatcher(t, server)
+	server.SetRespond(func(int, string) (string, bool) {
+		return httpResponse(fmt.Sprintf(`{"cursor":7,"cmds":[{"cursor":7,%s}]}`, fakeplatform.EndpointsEvent(false, "c 1.1.1.3:1 active"))), true
+	})
+	testsupport.WaitUntil(t, "failed polls", func() bool { return watcher.Stats().FailedPolls > 3 })
+	if strings.Count(reports.String(), "update") > 1 || watcher.Stats().Revision != 1 {
+		t.Errorf("%s, revision %d", reports, watcher.Stats().Revision)
+	}
+	server.SetRespond(nil)
+	testsupport.WaitUntil(t, "a confirmation", func() bool { return reports.last() == "confirmed" })
+}
--- a/internal/discovery/late.go
+++ b/internal/discovery/late.go
@@ -2,6 +2,12 @@
 
 import "github.com/topazfront/topazfront/internal/transport/http1"
 
+// lateResponse is the response to a poll that had timed out.
+type lateResponse struct {
+	message *http1.Message
+	asked   question
+}
+
 // maxLatePolls is how many polls stay pending after their time-out, until a later one is answered in time. After a time-out
 // a silent server can't be told from a slow one. A silent server needs another poll on another connection, and a slow one
 // needs more time. With two late polls, a response may take three times as long as a poll's time-out.
@@ -28,13 +34,13 @@
 
 // takeResponses returns the responses that have arrived. Polls that have ended, by a response or an error, are closed and
 // removed.
-func (l *latePolls) takeResponses() (responses []*http1.Message) {
+func (l *latePolls) takeResponses() (responses []lateResponse) {
 	pending := l.conns[:0:0]
 	for _, conn := range l.conns {
 		select {
 		case result := <-conn.results:
 			if result.err == nil {
-				responses = append(responses, result.message)
+				responses = append(responses, lateResponse{result.message, conn.asked})
 			}
 			conn.close(errResponseTimeout)
 		default:
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -18,32 +18,71 @@
 // next poll: a server that doesn't hold polls back would otherwise be polled at full speed.
 var errPrematureResponse = errors.New("discovery: response without an event before the poll's wait was over")
 
+// errNoSnapshot rejects the response to a poll for the complete list that does not begin with a snapshot.
+var errNoSnapshot = errors.New("discovery: response without a snapshot to a poll for the complete list")
+
 // poll sends one request and applies its response. Responses to late polls that come meanwhile are applied, too.
 func (w *Watcher) poll(conn *connection) error {
 	w.mu.Lock()
 	w.stats.Polls++
 	w.mu.Unlock()
-	startedAt := time.Now()
+	asked := w.newQuestion()
+	conn.asked = asked
 	before := w.log.revision
-	if err := conn.send(pollRequest(conn.address, before, w.cfg.PollWait)); err != nil {
+	if w.askAgain && w.cfg.OnAskedAgain != nil {
+		w.cfg.OnAskedAgain()
+	}
+	if err := conn.send(pollRequest(conn.address, asked.revision, asked.wait)); err != nil {
 		return err
 	}
 	message, err := w.awaitResponse(conn)
 	if err != nil {
 		return err
 	}
-	if err := w.apply(message); err != nil {
+	if err := w.apply(message, asked); err != nil {
 		return err
 	}
 	if message.Close {
 		conn.close(errClosedAfterResponse)
 	}
-	if w.log.revision == before && time.Since(startedAt) < w.cfg.PollWait/minWaitDivisor {
+	if w.log.revision == before && time.Since(asked.at) < asked.wait/minWaitDivisor {
 		return errPrematureResponse
 	}
 	return nil
 }
 
+// question is what a poll asked for.
+type question struct {
+	at       time.Time     // when it was asked
+	revision int64         // events after it are asked for; 0: the complete list
+	wait     time.Duration // how long the server may hold the poll
+	complete bool          // the response has to begin with a snapshot
+}
+
+// newQuestion returns what the next poll asks for.
+func (w *Watcher) newQuestion() question {
+	asked := question{at: time.Now(), revision: w.log.revision, wait: w.cfg.PollWait}
+	if w.askAgain {
+		asked.wait = min(asked.wait, firstWaitAfterFailure)
+	}
+	if w.resynchronize {
+		asked.revision = 0
+		asked.complete = true
+	}
+	return asked
+}
+
+// currentAt returns when the list was current by a response. One without events was written when the poll's wait was over.
+// One with events may have been written at any time since the poll was sent: the process may have been stopped meanwhile.
+func (q question) currentAt(hasEvents bool) time.Time {
+	now := time.Now()
+	heldUntil := q.at.Add(q.wait)
+	if hasEvents || now.Before(heldUntil) {
+		return q.at
+	}
+	return heldUntil
+}
+
 // awaitResponse waits for the response on a connection, for as long as a poll may take. Meanwhile it applies the responses
 // to late polls.
 func (w *Watcher) awaitResponse(conn *connection) (*http1.Message, error) {
@@ -64,15 +103,15 @@
 // applyLateResponses applies the responses to late polls that have arrived. One that can't be applied is only logged: the
 // poll under way asks for the same events.
 func (w *Watcher) applyLateResponses() {
-	for _, message := range w.late.takeResponses() {
-		if err := w.apply(message); err != nil {
+	for _, late := range w.late.takeResponses() {
+		if err := w.apply(late.message, late.asked); err != nil {
 			w.cfg.Logger.Info("late response to an endpoint poll not applied", "error", err)
 		}
 	}
 }
 
-// apply applies the events of a response, and publishes an update if they have changed the list.
-func (w *Watcher) apply(message *http1.Message) error {
+// apply applies the events of a response, publishes an update if they have changed the list, and confirms the list.
+func (w *Watcher) apply(message *http1.Message, asked question) error {
 	if message.Status != statusOK {
 		return fmt.Errorf("discovery: status %d", message.Status)
 	}
@@ -80,19 +119,33 @@
 	if err != nil {
 		return err
 	}
+	if *response.Revision < asked.revision {
+		return fmt.Errorf("%w: %d follows %d", ErrRevisionRegressed, *response.Revision, asked.revision)
+	}
+	log := w.log
+	if asked.complete {
+		log = &eventLog{}
+	}
 	before := w.log.revision
-	update, err := w.log.Apply(response, w.starts.Convert)
+	update, err := log.Apply(response, w.starts.Convert)
 	if err != nil {
 		return err
 	}
+	if asked.complete && (update == nil || !update.Snapshot) {
+		return errNoSnapshot
+	}
+	w.log = log
+	w.resynchronize = w.resynchronize && !asked.complete
 	w.mu.Lock()
 	w.stats.Revision = w.log.revision
-	w.stats.Events += uint64(w.log.revision - before)
+	w.stats.Events += uint64(max(w.log.revision-before, 0))
 	w.mu.Unlock()
 	if update != nil {
 		w.publish(update)
 	}
-	w.starts.ListCurrent(w.cfg.RouterClock.Clock())
+	clock := w.cfg.RouterClock
+	age := time.Since(asked.currentAt(len(response.Events) > 0))
+	w.confirm(clock.Clock() - age)
 	return nil
 }
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -21,6 +21,8 @@
 	MaxResponseBytes int                           // longest body of a response
 	RouterClock      endpoints.RouterClock         // the router's clock, to which start times are converted
 	OnUpdate         func(update endpoints.Update) // called with each change of the list, never concurrently
+	OnConfirmed      func(at time.Duration)        // called when the list is known to hold all changes up to a router time; nil: not called
+	OnAskedAgain     func()                        // called before each poll that follows a failed or interrupted one; nil: not called
 	Logger           *slog.Logger                  // nil discards
 
 	// Tests replace these; nil stands for the functions of the same name.
@@ -35,6 +37,10 @@
 	maxRetryShift  = 8
 )
 
+// firstWaitAfterFailure is how long the server may hold the first poll after a failed or interrupted one. It is short, as the
+// list counts as out of date until the response.
+const firstWaitAfterFailure = 100 * time.Millisecond
+
 // errInterrupted ends a poll whose server's address has changed or whose Watcher is closed. It is not a failure.
 var errInterrupted = errors.New("discovery: address changed or watcher closed")
 
@@ -45,9 +51,11 @@
 	done   chan struct{} // closed when run has returned
 
 	// Used by run only, and by Start before it starts run.
-	log    *eventLog
-	starts *endpoints.StartTimes
-	late   *latePolls
+	log           *eventLog
+	starts        *endpoints.StartTimes
+	late          *latePolls
+	askAgain      bool // the last poll failed or was interrupted
+	resynchronize bool // the next poll asks for the complete list: the server's events don't continue the log
 
 	mu      sync.Mutex
 	address string
@@ -106,11 +114,19 @@
 	update.Snapshot = true // there was nothing before it
 	w.log.revision = max(w.log.revision, *initial.Revision)
 	w.publish(update)
-	w.starts.ListCurrent(w.cfg.RouterClock.Clock())
+	w.confirm(w.cfg.RouterClock.Clock())
 	w.stats.Revision = w.log.revision
 	return nil
 }
 
+// confirm records and reports that the list holds all changes up to a time on the router's clock.
+func (w *Watcher) confirm(at time.Duration) {
+	w.starts.ListCurrent(at)
+	if w.cfg.OnConfirmed != nil {
+		w.cfg.OnConfirmed(at)
+	}
+}
+
 // SetAddress polls the server at another address from now on. A poll pending at the old address is abandoned: the new
 // address serves the same revisions.
 func (w *Watcher) SetAddress(address string) {
@@ -167,6 +183,7 @@
 		if err == nil {
 			err = w.poll(conn)
 		}
+		w.askAgain = err != nil
 		if err == nil {
 			consecutiveFailures = 0
 			w.late.close() // they ask for events that the answered poll has brought
@@ -177,6 +194,7 @@
 			w.late.close()
 		}
 		w.releaseConnection(conn, interrupted, err)
+		w.resynchronizeAfter(err)
 		if interrupted {
 			continue
 		}
@@ -187,6 +205,15 @@
 	w.closeConnection()
 }
 
+// resynchronizeAfter has the next poll ask for the complete list after an error that shows that the server's events don't
+// continue the log, and abandons the polls that asked for its continuation.
+func (w *Watcher) resynchronizeAfter(err error) {
+	if errors.Is(err, ErrEventGap) || errors.Is(err, ErrRevisionRegressed) {
+		w.resynchronize = true
+		w.late.close()
+	}
+}
+
 // releaseConnection closes the connection of a poll that ended with err. A poll that timed out stays pending instead: its
 // response may still come. conn is nil if there was no connection.
 func (w *Watcher) releaseConnection(conn *connection, interrupted bool, err error) {
--- a/internal/httprouter/server.go
+++ b/internal/httprouter/server.go
@@ -129,6 +129,8 @@
 		MaxResponseBytes: maxPollResponseBytes,
 		RouterClock:      s.router,
 		OnUpdate:         s.router.UpdateEndpoints,
+		OnConfirmed:      s.router.EndpointListConfirmed,
+		OnAskedAgain:     s.router.EndpointListAskedAgain,
 		Logger:           s.logger,
 	}, s.cfg.InitialEndpoints)
 	s.cfg.InitialEndpoints = discovery.PollResponse{} // frees the memory of a long list, which the router has in its own form
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -25,7 +25,7 @@
 		r.endAttempt(a, AttemptResult{Result: dispatch.NotSent, Report: NoWorkerReport})
 		return
 	}
-	r.sendAttempt(a, endsAt, remaining)
+	r.sendAttempt(a, endsAt, SendLimits{Remaining: remaining, SendBefore: r.timeAt(action.SendBefore)})
 }
 
 // reportUnknownCall reports to the dispatcher that an attempt was not sent, because its call has ended.
@@ -41,7 +41,7 @@
 }
 
 // sendAttempt passes an attempt to the upstream.
-func (r *Router) sendAttempt(a *attempt, endsAt, remaining time.Duration) {
+func (r *Router) sendAttempt(a *attempt, endsAt time.Duration, limits SendLimits) {
 	call := a.call
 	r.stats.Attempts++
 	r.stats.AttemptsInFlight++
@@ -51,7 +51,7 @@
 	}
 	a.timeout.Value = func() { r.attemptTimedOut(a) }
 	r.timers.Add(&a.timeout, endsAt)
-	a.handle = r.upstream.StartAttempt(AttemptToken{a}, call.submitted, a.worker, a.number, remaining)
+	a.handle = r.upstream.StartAttempt(AttemptToken{a}, call.submitted, a.worker, a.number, limits)
 }
 
 // attemptTimedOut cancels an attempt whose time is over. An attempt whose response is being forwarded goes on: only the
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"github.com/topazfront/topazfront/dispatch"
 	"github.com/topazfront/topazfront/internal/endpoints"
 )
@@ -15,6 +17,32 @@
 	r.post(func() { r.endpoints.Update(update) })
 }
 
+// EndpointListConfirmed records that the endpoint list, with the updates before, held all changes up to a time on the
+// router's clock. Once it has been called, the list is believed only as long as it is confirmed.
+func (r *Router) EndpointListConfirmed(at time.Duration) {
+	r.post(func() {
+		r.listConfirmedAt = max(r.listConfirmedAt, at)
+		r.updateEndpoints() // the updates before come first
+		r.events = append(r.events, dispatch.EndpointListConfirmed{At: at})
+	})
+}
+
+// EndpointListAskedAgain records that the endpoint list is asked for again, after a failure.
+func (r *Router) EndpointListAskedAgain() {
+	r.post(func() { r.events = append(r.events, dispatch.EndpointListAskedAgain{}) })
+}
+
+// endpointListStateChanged logs whether the endpoint list is believed.
+func (r *Router) endpointListStateChanged(action dispatch.EndpointListStateChanged) {
+	r.stats.ListExpired = !action.Current
+	if action.Current {
+		r.cfg.Logger.Info("endpoint list current again", "age_ms", action.Age.Milliseconds())
+		return
+	}
+	r.cfg.Logger.Warn("endpoint list out of date, workers are checked before anything new is sent to them",
+		"age_ms", action.Age.Milliseconds())
+}
+
 // WorkerDraining records a worker's own report that it drains.
 func (r *Router) WorkerDraining(worker string) {
 	r.post(func() { r.endpoints.WorkerDraining(r.now, worker) })
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,6 +70,7 @@
 	lastCallID      dispatch.RequestID
 	functions       calledFunctions
 	endpoints       *endpoints.Merger
+	listConfirmedAt time.Duration // the endpoint list held all changes up to then; 0: not reported
 	stats           Stats
 
 	stopWhenIdle     bool          // the loop ends once no call is left
@@ -129,6 +130,14 @@
 	return max(epoch+sinceStart, 0)
 }
 
+// timeAt converts a time on the router's clock. 0 becomes the zero time.
+func (r *Router) timeAt(at time.Duration) time.Time {
+	if at == 0 {
+		return time.Time{}
+	}
+	return r.startedAt.Add(at - epoch)
+}
+
 // post queues f to be run by the loop. It reports whether the loop still takes work; if not, f is never run.
 func (r *Router) post(f func()) bool {
 	r.mu.Lock()
@@ -251,7 +260,9 @@
 	case dispatch.LoadFunction:
 		r.loadFunction(action)
 	case dispatch.CheckHealth:
-		r.checkHealth(action.Worker)
+		r.checkHealth(action)
+	case dispatch.EndpointListStateChanged:
+		r.endpointListStateChanged(action)
 	case dispatch.SetTimer:
 		r.dispatcherTimer = r.now + action.After
 	case dispatch.ReportSuspicion:
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -40,7 +40,7 @@
 	return u.dead[worker]
 }
 
-func (u *fakeUpstream) StartAttempt(token AttemptToken, _ *Call, worker string, _ int, _ time.Duration) UpstreamAttempt {
+func (u *fakeUpstream) StartAttempt(token AttemptToken, _ *Call, worker string, _ int, _ SendLimits) UpstreamAttempt {
 	result := AttemptResult{Result: dispatch.OK, Report: NoWorkerReport}
 	if u.isDead(worker) {
 		result.Result = dispatch.ConnectionReset
@@ -49,7 +49,7 @@
 	return endedAttempt{}
 }
 
-func (u *fakeUpstream) LoadFunction(_, _ string, copies int, _ time.Duration, done func(LoadResult)) {
+func (u *fakeUpstream) LoadFunction(_, _ string, copies int, _ SendLimits, done func(LoadResult)) {
 	done(LoadResult{Result: dispatch.OK, Copies: copies})
 }
 
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -60,12 +60,12 @@
 // hungUpstream is an upstream whose workers never answer, not even to a cancellation.
 type hungUpstream struct{}
 
-func (hungUpstream) StartAttempt(AttemptToken, *Call, string, int, time.Duration) UpstreamAttempt {
+func (hungUpstream) StartAttempt(AttemptToken, *Call, string, int, SendLimits) UpstreamAttempt {
 	return endedAttempt{}
 }
-func (hungUpstream) LoadFunction(string, string, int, time.Duration, func(LoadResult)) {}
-func (hungUpstream) CheckHealth(string, time.Duration, func(HealthResult))             {}
-func (hungUpstream) UpdateEndpoints([]endpoints.Worker)                                {}
+func (hungUpstream) LoadFunction(string, string, int, SendLimits, func(LoadResult)) {}
+func (hungUpstream) CheckHealth(string, time.Duration, func(HealthResult))          {}
+func (hungUpstream) UpdateEndpoints([]endpoints.Worker)                             {}
 
 // silentDispatcher starts an attempt of each call of testFunction, and answers none.
 type silentDispatcher struct{}
--- a/internal/router/stats.go
+++ b/internal/router/stats.go
@@ -18,6 +18,11 @@
 	Open             int           `json:"Open"` // calls under way
 	AttemptsInFlight int           `json:"Out"`
 	ServedDuration   time.Duration `json:"Took"` // sum over the served attempts, as reported to the dispatcher
+
+	LeaseChecks    uint64        `json:"LeaseChecks"`    // health checks because the endpoint list was out of date
+	DrainsReported uint64        `json:"DrainsReported"` // health checks answered by a worker that drains
+	ListExpired    bool          `json:"ListExpired"`    // the endpoint list is out of date
+	ListAge        time.Duration `json:"ListAge"`        // since it was last confirmed; 0: that is not reported
 }
 
 // Stats returns the router's statistics. Open is 0 once the router has ended, also after Kill.
@@ -26,6 +31,9 @@
 	r.post(func() {
 		stats := r.stats
 		stats.Open = len(r.calls)
+		if r.listConfirmedAt > 0 {
+			stats.ListAge = r.Clock() - r.listConfirmedAt
+		}
 		reply <- stats
 	})
 	select {
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -10,12 +10,11 @@
 // Upstream talks to the workers. Only the loop calls its methods, and they don't block. The outcomes may be
 // reported from any goroutine.
 type Upstream interface {
-	// StartAttempt starts an attempt of a call on a worker. number counts the call's attempts from 0; the attempt
-	// has remaining left until it times out. Its end is reported by exactly one Router.AttemptEnded with the token.
-	StartAttempt(token AttemptToken, call *Call, worker string, number int, remaining time.Duration) UpstreamAttempt
-	// LoadFunction commands a worker to hold copies of a function, and calls done once, with the result. limit is how
-	// long the result is waited for.
-	LoadFunction(worker, function string, copies int, limit time.Duration, done func(LoadResult))
+	// StartAttempt starts an attempt of a call on a worker. number counts the call's attempts from 0. Its end is reported by
+	// exactly one Router.AttemptEnded with the token.
+	StartAttempt(token AttemptToken, call *Call, worker string, number int, limits SendLimits) UpstreamAttempt
+	// LoadFunction commands a worker to hold copies of a function, and calls done once, with the result.
+	LoadFunction(worker, function string, copies int, limits SendLimits, done func(LoadResult))
 	// CheckHealth requests a worker's readiness and load, and calls done once, with the result. limit is how long the
 	// result is waited for.
 	CheckHealth(worker string, limit time.Duration, done func(HealthResult))
@@ -24,6 +23,17 @@
 	UpdateEndpoints(changed []endpoints.Worker)
 }
 
+// SendLimits are the time limits of what is sent to a worker.
+type SendLimits struct {
+	Remaining  time.Duration // until an attempt times out, or the result of a load command is no longer waited for
+	SendBefore time.Time     // the first byte is written before, or nothing is sent, which ends as NotSent; zero: no limit
+}
+
+// Expired reports whether it is too late to write the first byte.
+func (l SendLimits) Expired(now time.Time) bool {
+	return !l.SendBefore.IsZero() && !now.Before(l.SendBefore)
+}
+
 // UpstreamAttempt is the router's handle of an attempt. Only the loop calls its methods, and they don't block.
 type UpstreamAttempt interface {
 	// ForwardTo forwards the response to a client, first the buffered part and then further bytes as they arrive. It is called
--- a/internal/router/waits_test.go
+++ b/internal/router/waits_test.go
@@ -43,7 +43,7 @@
 	router *Router
 }
 
-func (u *cancellableUpstream) StartAttempt(token AttemptToken, _ *Call, _ string, _ int, _ time.Duration) UpstreamAttempt {
+func (u *cancellableUpstream) StartAttempt(token AttemptToken, _ *Call, _ string, _ int, _ SendLimits) UpstreamAttempt {
 	return cancellableAttempt{u.router, token}
 }
 
--- a/internal/router/workers.go
+++ b/internal/router/workers.go
@@ -18,7 +18,8 @@
 		r.cfg.Logger.Debug("function load started", "endpoint", action.Worker, "function", action.Function,
 			"copies", action.Copies)
 	}
-	r.upstream.LoadFunction(action.Worker, action.Function, action.Copies, r.cfg.LoadTimeout, func(result LoadResult) {
+	limits := SendLimits{Remaining: r.cfg.LoadTimeout, SendBefore: r.timeAt(action.SendBefore)}
+	r.upstream.LoadFunction(action.Worker, action.Function, action.Copies, limits, func(result LoadResult) {
 		r.post(func() {
 			r.recordAlive(action.Worker, result.Result)
 			r.events = append(r.events, dispatch.FunctionLoaded{
@@ -32,16 +33,27 @@
 	})
 }
 
-// checkHealth checks a worker's health for the dispatcher.
-func (r *Router) checkHealth(worker string) {
+// checkHealth checks a worker's health for the dispatcher. A worker that answers that it takes nothing new is kept as
+// draining until it is ready again.
+func (r *Router) checkHealth(action dispatch.CheckHealth) {
+	worker := action.Worker
 	startedAt := r.now
 	r.stats.HealthChecks++
+	if action.ForLease {
+		r.stats.LeaseChecks++
+	}
 	r.upstream.CheckHealth(worker, r.cfg.HealthCheckTimeout, func(result HealthResult) {
 		r.post(func() {
 			r.recordAlive(worker, result.Result)
+			draining := result.Result == dispatch.OK && !result.Ready
+			if draining {
+				r.stats.DrainsReported++
+				r.endpoints.WorkerDraining(r.now, worker)
+			}
 			r.events = append(r.events, dispatch.HealthChecked{
 				Worker:     worker,
 				Result:     result.Result,
+				Draining:   draining,
 				Duration:   r.now - startedAt,
 				LoadReport: result.Report.LoadReport,
 			})
--- a/internal/server/grpcserver/harness_test.go
+++ b/internal/server/grpcserver/harness_test.go
@@ -57,9 +57,9 @@
 func (endedAttempt) ForwardTo(router.Client) {}
 func (endedAttempt) Cancel()                 {}
 
-func (u *echoUpstream) StartAttempt(token router.AttemptToken, call *router.Call, _ string, _ int, left time.Duration) router.UpstreamAttempt {
+func (u *echoUpstream) StartAttempt(token router.AttemptToken, call *router.Call, _ string, _ int, limits router.SendLimits) router.UpstreamAttempt {
 	select {
-	case u.left <- left:
+	case u.left <- limits.Remaining:
 	default:
 	}
 	request, _ := call.Request.(*oip.Request)
@@ -68,9 +68,9 @@
 		Head: []hpack.Field{{Name: "worker-head", Value: "h"}}, Trailer: oip.Trailer{Metadata: trailers}})
 	return endedAttempt{}
 }
-func (*echoUpstream) LoadFunction(string, string, int, time.Duration, func(router.LoadResult)) {}
-func (*echoUpstream) CheckHealth(string, time.Duration, func(router.HealthResult))             {}
-func (*echoUpstream) UpdateEndpoints([]endpoints.Worker)                                       {}
+func (*echoUpstream) LoadFunction(string, string, int, router.SendLimits, func(router.LoadResult)) {}
+func (*echoUpstream) CheckHealth(string, time.Duration, func(router.HealthResult))                 {}
+func (*echoUpstream) UpdateEndpoints([]endpoints.Worker)                                           {}
 
 // startServer starts a server with a router before an echoUpstream.
 func startServer(t *testing.T) *Server {
--- a/internal/server/httpserver/harness_test.go
+++ b/internal/server/httpserver/harness_test.go
@@ -71,7 +71,7 @@
 func (endedAttempt) ForwardTo(router.Client) {}
 func (endedAttempt) Cancel()                 {}
 
-func (u *echoUpstream) StartAttempt(token router.AttemptToken, call *router.Call, _ string, _ int, _ time.Duration) router.UpstreamAttempt {
+func (u *echoUpstream) StartAttempt(token router.AttemptToken, call *router.Call, _ string, _ int, _ router.SendLimits) router.UpstreamAttempt {
 	request, _ := call.Request.(*invocation.Request)
 	u.mu.Lock()
 	u.requests = append(u.requests, request)
@@ -84,9 +84,10 @@
 		Report: router.NoWorkerReport})
 	return endedAttempt{}
 }
-func (u *echoUpstream) LoadFunction(string, string, int, time.Duration, func(router.LoadResult)) {}
-func (u *echoUpstream) CheckHealth(string, time.Duration, func(router.HealthResult))             {}
-func (u *echoUpstream) UpdateEndpoints([]endpoints.Worker)                                       {}
+func (u *echoUpstream) LoadFunction(string, string, int, router.SendLimits, func(router.LoadResult)) {
+}
+func (u *echoUpstream) CheckHealth(string, time.Duration, func(router.HealthResult)) {}
+func (u *echoUpstream) UpdateEndpoints([]endpoints.Worker)                           {}
 
 // expectForwarded fails the test unless so many requests were forwarded.
 func (u *echoUpstream) expectForwarded(t *testing.T, n int) {
--- a/internal/upstream/grpcupstream/attempt.go
+++ b/internal/upstream/grpcupstream/attempt.go
@@ -24,6 +24,7 @@
 	worker           string // id
 	previousAttempts int
 	deadline         time.Time
+	limits           router.SendLimits
 
 	mu              sync.Mutex
 	stream          *http2.Stream // nil until it is opened
@@ -41,10 +42,10 @@
 }
 
 // StartAttempt implements router.Upstream.
-func (p *Pool) StartAttempt(token router.AttemptToken, call *router.Call, workerID string, previousAttempts int, left time.Duration) router.UpstreamAttempt {
+func (p *Pool) StartAttempt(token router.AttemptToken, call *router.Call, workerID string, previousAttempts int, limits router.SendLimits) router.UpstreamAttempt {
 	request, _ := call.Request.(*oip.Request)
 	a := &attempt{pool: p, token: token, request: request, streamed: call.Streamed, worker: workerID,
-		previousAttempts: previousAttempts, deadline: time.Now().Add(left)}
+		previousAttempts: previousAttempts, deadline: time.Now().Add(limits.Remaining), limits: limits}
 	a.onConsumed = a.clientConsumed
 	if request == nil {
 		a.fail(dispatch.ConnectFailed, "the call came by another protocol")
@@ -54,8 +55,13 @@
 	return a
 }
 
-// openStream implements outgoingCall. An attempt that has ended meanwhile opens none.
+// openStream implements outgoingCall. An attempt that has ended meanwhile opens none, nor does one that must not be sent any
+// more, which ends.
 func (a *attempt) openStream(c *http2.Conn) error {
+	if a.limits.Expired(time.Now()) {
+		a.finishWith(outcome{dispatch.NotSent, grpc.Status{Code: grpc.Unavailable, Message: "not sent in time"}})
+		return nil
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
--- a/internal/upstream/grpcupstream/control.go
+++ b/internal/upstream/grpcupstream/control.go
@@ -24,6 +24,7 @@
 	path     string
 	body     []byte // with the gRPC prefix
 	deadline time.Time
+	limits   router.SendLimits
 	done     func(result outcome, body []byte, report oip.LoadReport) // called once, without the lock
 
 	mu       sync.Mutex
@@ -36,16 +37,16 @@
 }
 
 // startControlCall sends a message to a worker and calls done once, after limit at the latest.
-func (p *Pool) startControlCall(workerID, path string, message proto.Message, limit time.Duration,
+func (p *Pool) startControlCall(workerID, path string, message proto.Message, limits router.SendLimits,
 	done func(outcome, []byte, oip.LoadReport)) {
 	encoded, err := proto.Marshal(message)
 	if err != nil {
 		done(outcome{dispatch.NotSent, grpc.Status{Code: grpc.Internal, Message: err.Error()}}, nil, oip.NoLoadReport)
 		return
 	}
-	call := &controlCall{pool: p, path: path, deadline: time.Now().Add(limit), done: done,
+	call := &controlCall{pool: p, path: path, deadline: time.Now().Add(limits.Remaining), limits: limits, done: done,
 		body: append(grpc.AppendPrefix(nil, len(encoded), false), encoded...), reader: grpc.MessageReader{MaxSize: maxControlResponse}}
-	call.timer = time.AfterFunc(limit, func() {
+	call.timer = time.AfterFunc(limits.Remaining, func() {
 		call.mu.Lock()
 		stream := call.stream
 		call.mu.Unlock()
@@ -57,8 +58,13 @@
 	p.startStream(workerID, call)
 }
 
-// openStream implements outgoingCall. A call that has ended meanwhile opens none.
+// openStream implements outgoingCall. A call that has ended meanwhile opens none, nor does one that must not be sent any
+// more, which ends.
 func (cc *controlCall) openStream(c *http2.Conn) error {
+	if cc.limits.Expired(time.Now()) {
+		cc.fail(dispatch.NotSent, "not sent in time")
+		return nil
+	}
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	if cc.ended {
@@ -130,7 +136,7 @@
 }
 
 // LoadFunction implements router.Upstream by RepositoryModelLoad with the parameter "copies".
-func (p *Pool) LoadFunction(workerID, function string, copies int, limit time.Duration, done func(router.LoadResult)) {
+func (p *Pool) LoadFunction(workerID, function string, copies int, limits router.SendLimits, done func(router.LoadResult)) {
 	model, version := oip.SplitFunction(function)
 	request := &inference.RepositoryModelLoadRequest{ModelName: model, Parameters: map[string]*inference.ModelRepositoryParameter{
 		oip.ParamCopies: {ParameterChoice: &inference.ModelRepositoryParameter_Int64Param{Int64Param: int64(copies)}}}}
@@ -138,7 +144,7 @@
 		request.Parameters["version"] = &inference.ModelRepositoryParameter{
 			ParameterChoice: &inference.ModelRepositoryParameter_StringParam{StringParam: version}}
 	}
-	p.startControlCall(workerID, oip.Load, request, limit, func(ended outcome, _ []byte, report oip.LoadReport) {
+	p.startControlCall(workerID, oip.Load, request, limits, func(ended outcome, _ []byte, report oip.LoadReport) {
 		result := router.LoadResult{Result: ended.result, Copies: int(max(report.Copies, 0))}
 		if ended.result == dispatch.OK && ended.status.Code != grpc.OK {
 			result.Result = dispatch.Errored // a status about the command itself means that no copy was loaded
@@ -149,7 +155,7 @@
 
 // CheckHealth implements router.Upstream by ServerReady, whose trailers carry the worker's load report.
 func (p *Pool) CheckHealth(workerID string, limit time.Duration, done func(router.HealthResult)) {
-	p.startControlCall(workerID, oip.ServerReady, &inference.ServerReadyRequest{}, limit,
+	p.startControlCall(workerID, oip.ServerReady, &inference.ServerReadyRequest{}, router.SendLimits{Remaining: limit},
 		func(ended outcome, body []byte, report oip.LoadReport) {
 			result := router.HealthResult{Result: ended.result, Report: workerReport(report)}
 			if ended.result == dispatch.OK && ended.status.Code != grpc.OK {
--- a/internal/upstream/grpcupstream/golden_test.go
+++ b/internal/upstream/grpcupstream/golden_test.go
@@ -92,7 +92,7 @@
 
 	pool := newTestPool(t, addr, Config{ConnectTimeout: time.Second})
 	pool.Attach(r)
-	pool.LoadFunction("w", "m", 3, time.Hour, func(router.LoadResult) {})
+	pool.LoadFunction("w", "m", 3, router.SendLimits{Remaining: time.Hour}, func(router.LoadResult) {})
 	expect("a load command", "RepositoryModelLoad",
 		`"\x00\x00\x00\x00\x11\x12\x01m\x1a\f\n\x06copies\x12\x02\x10\x03"`)
 	pool.CheckHealth("w", time.Hour, func(router.HealthResult) {})
--- a/internal/upstream/grpcupstream/pool_test.go
+++ b/internal/upstream/grpcupstream/pool_test.go
@@ -44,7 +44,7 @@
 	pool := newTestPool(t, addr, Config{ConnectTimeout: time.Second})
 	pool.Attach(r)
 	loads, checks := make(chan router.LoadResult, 1), make(chan router.HealthResult, 1)
-	pool.LoadFunction("w", "m", 1, 10*time.Second, func(loaded router.LoadResult) { loads <- loaded })
+	pool.LoadFunction("w", "m", 1, router.SendLimits{Remaining: 10 * time.Second}, func(loaded router.LoadResult) { loads <- loaded })
 	if loaded := testsupport.Await(t, loads, "the load result"); loaded.Result != dispatch.OK || loaded.Copies != 2 {
 		t.Errorf("load command: %+v", loaded)
 	}
--- a/internal/upstream/respupstream/assign.go
+++ b/internal/upstream/respupstream/assign.go
@@ -6,10 +6,11 @@
 	"github.com/topazfront/topazfront/dispatch"
 )
 
-// mayWrite reports whether an exchange may be written now. It must be wanted still, there must be time left, its worker
+// mayWrite reports whether an exchange may be written now. It must be wanted still, its time limits
+// must allow it, its worker
 // must accept it, and its client must still wait. The lock is held.
 func (p *Pool) mayWrite(x *exchange, now time.Time) bool {
-	if p.closed || x.ended || !now.Before(x.writeBefore) {
+	if p.closed || x.ended || !now.Before(x.writeBefore) || x.sendLimits.Expired(now) {
 		return false
 	}
 	return x.worker.accepts(x.kind) && x.clientWaiting()
--- a/internal/upstream/respupstream/exchange.go
+++ b/internal/upstream/respupstream/exchange.go
@@ -28,7 +28,8 @@
 	id             string // on the wire
 	worker         *worker
 	writeBefore    time.Time // not written after it
-	rejectedWrites int       // connections that did not accept it whole
+	sendLimits     router.SendLimits
+	rejectedWrites int // connections that did not accept it whole
 	createdAt      time.Time
 	call           *router.Call // of an attempt, else nil
 	encode         func(left time.Duration) []byte
@@ -57,11 +58,11 @@
 
 // StartAttempt implements router.Upstream.
 func (p *Pool) StartAttempt(token router.AttemptToken, call *router.Call, workerID string, _ int,
-	left time.Duration,
+	limits router.SendLimits,
 ) router.UpstreamAttempt {
 	request, _ := call.Request.(*invocation.Request)
-	x := &exchange{pool: p, kind: kindAttempt, call: call, createdAt: time.Now()}
-	x.writeBefore = x.createdAt.Add(left)
+	x := &exchange{pool: p, kind: kindAttempt, call: call, createdAt: time.Now(), sendLimits: limits}
+	x.writeBefore = x.createdAt.Add(limits.Remaining)
 	x.done = func(result dispatch.Result, received *response) {
 		p.router.AttemptEnded(token, newAttemptResult(result, received))
 	}
@@ -90,8 +91,9 @@
 
 // LoadFunction implements router.Upstream. A load command that cannot be written within the connect timeout is not written
 // at all. Written late, it would count against another interval of the load rate limit.
-func (p *Pool) LoadFunction(workerID, function string, copies int, limit time.Duration, done func(router.LoadResult)) {
-	x := &exchange{pool: p, kind: kindLoad, writeBefore: time.Now().Add(min(limit, p.config.ConnectTimeout))}
+func (p *Pool) LoadFunction(workerID, function string, copies int, limits router.SendLimits, done func(router.LoadResult)) {
+	x := &exchange{pool: p, kind: kindLoad, sendLimits: limits,
+		writeBefore: time.Now().Add(min(limits.Remaining, p.config.ConnectTimeout))}
 	x.done = func(result dispatch.Result, received *response) {
 		loaded := router.LoadResult{Result: result}
 		if received != nil {
@@ -100,7 +102,7 @@
 		done(loaded)
 	}
 	x.encode = func(time.Duration) []byte { return encodeLoad(x.id, function, copies) }
-	p.startWithTimeout(x, workerID, limit)
+	p.startWithTimeout(x, workerID, limits.Remaining)
 }
 
 // CheckHealth implements router.Upstream.
--- a/internal/upstream/respupstream/golden_test.go
+++ b/internal/upstream/respupstream/golden_test.go
@@ -71,7 +71,7 @@
 	testsupport.Await(t, client, "the answer")
 
 	loaded := make(chan router.LoadResult, 1)
-	h.pool.LoadFunction("w", testFunction, 2, 15*time.Second, func(r router.LoadResult) { loaded <- r })
+	h.pool.LoadFunction("w", testFunction, 2, router.SendLimits{Remaining: 15 * time.Second}, func(r router.LoadResult) { loaded <- r })
 	expect("a load command", "*3\r\n$6\r\nensure\r\n$2\r\nq1\r\n$32\r\nitem=7f3a9c21e0b4d655,slots_up=2\r\n")
 	if r := testsupport.Await(t, loaded, "the load result"); r.Result != dispatch.OK || r.Copies != 2 {
 		t.Errorf("load result %+v", r)
--- a/internal/upstream/respupstream/hung_worker_test.go
+++ b/internal/upstream/respupstream/hung_worker_test.go
@@ -17,7 +17,7 @@
 	h := newHarness(t, nil, &scriptedDispatcher{}, w)
 	h.waitForEndpoints()
 	results := make(chan dispatch.Result, 4)
-	h.pool.LoadFunction("w", testFunction, 2, limit, func(r router.LoadResult) { results <- r.Result })
+	h.pool.LoadFunction("w", testFunction, 2, router.SendLimits{Remaining: limit}, func(r router.LoadResult) { results <- r.Result })
 	h.pool.CheckHealth("w", limit, func(r router.HealthResult) { results <- r.Result })
 	for range 2 {
 		if result := testsupport.Await(t, results, "the end of a command"); result != dispatch.TimedOut {
--- a/internal/upstream/respupstream/write_test.go
+++ b/internal/upstream/respupstream/write_test.go
@@ -30,6 +30,11 @@
 			x.writeBefore = time.Now()
 			h.pool.mu.Unlock()
 		},
+		"the worker's lease is over": func(h *harness, x *exchange) {
+			h.pool.mu.Lock()
+			x.sendLimits.SendBefore = time.Now()
+			h.pool.mu.Unlock()
+		},
 		"client left": func(h *harness, x *exchange) {
 			h.pool.mu.Lock()
 			x.call = &router.Call{ClientLeft: func() bool { return true }}
