dispatch: a worker that returns over a lost connection in an outage is in slow start

Ruled out: the bucket of slow start (the router whose connect failed kept it), the list (no update came). Change: the upstream reports connections that the worker ended, also idle ones; the dispatcher counts that as contact lost. Only the first question after the last confirmation ends the list's lease (it moved with each and the list flapped). Health checks are logged at debug level.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -85,10 +85,14 @@
 	switch e := e.(type) {
 	case EndpointUpdate:
 		d.updateEndpoints(e)
+	case ConnectionLost:
+		if w := d.workers[e.Worker]; w != nil {
+			d.loseContact(w)
+		}
 	case EndpointListConfirmed:
 		d.confirmList(e)
 	case EndpointListAskedAgain:
-		d.list.askedAgainAt = d.now
+		d.askListAgain()
 	case Request:
 		d.acceptRequest(e)
 	case AttemptEnded:
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -133,6 +133,10 @@
 // EndpointListAskedAgain says that the list is asked for again, after a failure.
 type EndpointListAskedAgain struct{}
 
+// ConnectionLost says that a connection to a worker was ended, and not by this router. The attempts on it end by events of
+// their own.
+type ConnectionLost struct{ Worker string }
+
 // EndpointUpdate brings the endpoint list, or what changed in it.
 type EndpointUpdate struct {
 	Snapshot         bool // the list is complete: a worker that is absent has been removed
@@ -159,6 +163,7 @@
 func (ResponseStarted) event()        {}
 func (FunctionLoaded) event()         {}
 func (HealthChecked) event()          {}
+func (ConnectionLost) event()         {}
 func (EndpointListConfirmed) event()  {}
 func (EndpointListAskedAgain) event() {}
 func (EndpointUpdate) event()         {}
--- a/dispatch/freshness.go
+++ b/dispatch/freshness.go
@@ -86,6 +86,14 @@
 	d.list.confirmedAt = max(d.list.confirmedAt, min(e.At, d.now))
 }
 
+// askListAgain notes that the endpoint list is asked for again. Only the first time since it was confirmed counts: what had
+// changed by then is notified.
+func (d *Dispatcher) askListAgain() {
+	if d.list.askedAgainAt <= d.list.confirmedAt {
+		d.list.askedAgainAt = d.now
+	}
+}
+
 // detectPause notes when the process did not run for a while. Whatever the list has shown since it was confirmed may then
 // wait to be read. Steps come often enough, see maxStepInterval.
 func (d *Dispatcher) detectPause(lastStep time.Duration) {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -67,7 +67,7 @@
 type endpointList struct {
 	tracked      bool          // the caller reports on it
 	confirmedAt  time.Duration // the list held all changes up to then
-	askedAgainAt time.Duration // when it was last asked for again after a failure
+	askedAgainAt time.Duration // when it was first asked for again after a failure since then
 	pausedUntil  time.Duration // when the process last went on after a pause
 	expired      bool          // the list is not believed, as was last reported
 }
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -48,6 +48,11 @@
 	r.post(func() { r.endpoints.WorkerDraining(r.now, worker) })
 }
 
+// WorkerConnectionLost records that a connection to a worker ended without this router's doing.
+func (r *Router) WorkerConnectionLost(worker string) {
+	r.post(func() { r.events = append(r.events, dispatch.ConnectionLost{Worker: worker}) })
+}
+
 // updateEndpoints passes changes of the endpoint list to the upstream and the dispatcher, and starts the health checks of
 // draining workers that are due.
 func (r *Router) updateEndpoints() {
@@ -57,7 +62,10 @@
 	}
 	for _, id := range actions.Check {
 		r.upstream.CheckHealth(id, r.cfg.HealthCheckTimeout, func(result HealthResult) {
-			r.post(func() { r.endpoints.HealthChecked(r.now, id, result.Result == dispatch.OK && result.Ready) })
+			r.post(func() {
+				r.logHealthCheck(id, result, false)
+				r.endpoints.HealthChecked(r.now, id, result.Result == dispatch.OK && result.Ready)
+			})
 		})
 	}
 }
--- a/internal/router/workers.go
+++ b/internal/router/workers.go
@@ -45,6 +45,7 @@
 	r.upstream.CheckHealth(worker, r.cfg.HealthCheckTimeout, func(result HealthResult) {
 		r.post(func() {
 			r.recordAlive(worker, result.Result)
+			r.logHealthCheck(worker, result, action.ForLease)
 			draining := result.Result == dispatch.OK && !result.Ready
 			if draining {
 				r.stats.DrainsReported++
@@ -60,3 +61,11 @@
 		})
 	})
 }
+
+// logHealthCheck logs the result of a health check at debug level.
+func (r *Router) logHealthCheck(worker string, result HealthResult, forLease bool) {
+	if r.debug {
+		r.cfg.Logger.Debug("health check ended", "endpoint", worker, "result", result.Result, "ready", result.Ready,
+			"for_lease", forLease)
+	}
+}
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -38,8 +38,9 @@
 }
 
 var workerShapes = []shape{
-	{WorkerDrained, 1 * time.Second, 8 * time.Second},
-	{WorkerDrained, 1 * time.Second, 8 * time.Second}, // twice as often as the others
+	{WorkerDrained, 1 * time.Second, 9 * time.Second},
+	{WorkerDrained, 1 * time.Second, 9 * time.Second}, // three times as often as the others
+	{WorkerDrained, 4 * time.Second, 9 * time.Second},
 	{WorkerReplaced, 500 * time.Millisecond, 4 * time.Second},
 	{WorkerKilled, 300 * time.Millisecond, 3 * time.Second},
 	{WorkerHung, 1 * time.Second, 5 * time.Second},
@@ -53,11 +54,13 @@
 	{kind: RouterKilled},
 	{RouterStopped, 700 * time.Millisecond, 2500 * time.Millisecond},
 	{kind: RouterReloaded},
+	{ConnectionCrowd, 1 * time.Second, 4 * time.Second},
 }
 
 var trafficShapes = []shape{
 	{TrafficBurst, 1 * time.Second, 3 * time.Second},
 	{ClientsLeave, 2 * time.Second, 6 * time.Second},
+	{kind: ClockStepped},
 }
 
 // Draw returns the schedule of a seed.
@@ -78,7 +81,9 @@
 		},
 	}
 	s.Faults = drawDiscoveryFaults(random)
-	s.Faults = append(s.Faults, drawTargeted(random, workerShapes, 2+random.IntN(max(s.Workers/4, 1)+1), s.Workers)...)
+	workerFaults := drawTargeted(random, workerShapes, 2+random.IntN(max(s.Workers/4, 1)+1), s.Workers)
+	moveIntoOutage(random, workerFaults, s.Faults[0])
+	s.Faults = append(s.Faults, workerFaults...)
 	s.Faults = append(s.Faults, drawTargeted(random, routerShapes, random.IntN(s.Routers+1), s.Routers)...)
 	s.Faults = append(s.Faults, drawTargeted(random, trafficShapes, random.IntN(3), len(trafficShapes))...)
 	slices.SortFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
@@ -98,6 +103,15 @@
 	return faults
 }
 
+// moveIntoOutage lets half of the faults begin while discovery is out of reach.
+func moveIntoOutage(random *rand.Rand, faults []Fault, outage Fault) {
+	for i := range faults {
+		if random.IntN(2) == 0 && outage.Duration > 0 {
+			faults[i].At = outage.At + time.Duration(random.Int64N(int64(outage.Duration)))
+		}
+	}
+}
+
 // drawTargeted draws faults of so many different targets.
 func drawTargeted(random *rand.Rand, shapes []shape, count, targets int) (faults []Fault) {
 	for _, target := range random.Perm(targets)[:min(count, targets)] {
@@ -123,7 +137,7 @@
 	if !s.Settings.HealthChecksAllowed {
 		return minServedUnchecked
 	}
-	mild := []FaultKind{WorkerDrained, WorkerReplaced, WorkerKilled, RouterReloaded, RouterTerminated, ClientsLeave}
+	mild := []FaultKind{WorkerDrained, WorkerReplaced, WorkerKilled, RouterReloaded, RouterTerminated, ClientsLeave, ClockStepped}
 	for _, fault := range s.Faults {
 		if !fault.Kind.concernsDiscovery() && !slices.Contains(mild, fault.Kind) {
 			return minServedOfFaults
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -16,6 +18,9 @@
 	resetInterval   = 300 * time.Millisecond  // between the resets of a worker that resets its connections
 	reloads         = 4
 	reloadInterval  = 60 * time.Millisecond
+	signalInterval  = 150 * time.Millisecond // between further signals to a router that ends
+	crowdSize       = 300                    // connections
+	clockStep       = time.Hour
 	restartDelay    = 300 * time.Millisecond // from a router's end to its next start
 	quietBeforeKill = 60 * time.Millisecond  // longer than crossedClose: what clients sent before is owed
 )
@@ -77,10 +82,12 @@
 	WorkerVanished:     misbehave(answersNothing),
 	WorkerSlow:         misbehave(answersSlowly),
 	WorkerResets:       (*run).resetWorkerConns,
+	ClockStepped:       (*run).stepClock,
 	RouterTerminated:   (*run).terminateRouter,
 	RouterKilled:       (*run).killRouter,
 	RouterStopped:      (*run).stopRouter,
 	RouterReloaded:     (*run).reloadRouter,
+	ConnectionCrowd:    (*run).crowd,
 	TrafficBurst:       changeTraffic(func(t *traffic, on bool) { t.burst.Store(on) }),
 	ClientsLeave:       changeTraffic(func(t *traffic, on bool) { t.leaving.Store(on) }),
 }
@@ -185,6 +192,11 @@
 	killAt := time.Now().Add(min(r.schedule.Settings.Deadline, maxSIGKILLWait) + sigkillGrace)
 	time.Sleep(newConnsUntil)
 	c.setOldOnly(true)
+	for time.Until(killAt) > quietBeforeKill+signalInterval {
+		time.Sleep(signalInterval)
+		n.signal(syscall.SIGHUP)
+		n.signal(syscall.SIGTERM)
+	}
 	time.Sleep(time.Until(killAt) - quietBeforeKill)
 	c.setPaused(true)
 	time.Sleep(time.Until(killAt))
@@ -215,6 +227,36 @@
 	return nil
 }
 
+// stepClock steps the clock by which start times in the endpoint list are told, to and fro by the fault's target.
+func (r *run) stepClock(fault Fault) error {
+	step := clockStep
+	if fault.Target%2 == 1 {
+		step = -step
+	}
+	r.platform.stepClock(step)
+	return nil
+}
+
+// crowd opens connections to a router that send nothing or the beginning of a request, and closes them after a while.
+func (r *run) crowd(fault Fault) error {
+	var conns []net.Conn
+	for i := range crowdSize {
+		conn, err := net.DialTimeout("tcp", r.clients[fault.Target].address, dialTimeout)
+		if err != nil {
+			continue // the router accepts no more
+		}
+		if i%2 == 1 {
+			_, _ = io.WriteString(conn, "POST /call/")
+		}
+		conns = append(conns, conn)
+	}
+	time.Sleep(fault.Duration)
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	return nil
+}
+
 // stopRouter stops a router's process for a while.
 func (r *run) stopRouter(fault Fault) error {
 	n := r.nodes[fault.Target]
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -30,7 +30,8 @@
 	keys     [workerCells]fakeplatform.KeySet // of the requests that ran, by cell
 	events   [][]string
 	changes  []listChange
-	replaced int // workers that others have replaced so far
+	clock    time.Duration // by which the clock of start times is ahead
+	replaced int           // workers that others have replaced so far
 }
 
 // listChange is a change of a worker's state in the endpoint list, as it truly was.
@@ -124,7 +125,7 @@
 // startAgain starts a worker's process in place of one that was stopped, under the given id, and lists it.
 func (p *platform) startAgain(index int, id string) error {
 	old := p.worker(index)
-	started, err := p.startWorker(index, id, wallclock.FromTime(time.Now()).UnixMilli(), old.addresses)
+	started, err := p.startWorker(index, id, p.startTime(), old.addresses)
 	if err != nil {
 		return err
 	}
@@ -136,6 +137,20 @@
 	return nil
 }
 
+// startTime returns the present time in Unix milliseconds, by the clock of start times.
+func (p *platform) startTime() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return wallclock.FromTime(time.Now()).Add(p.clock).UnixMilli()
+}
+
+// stepClock steps the clock of start times.
+func (p *platform) stepClock(by time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clock += by
+}
+
 // replacementID returns the id of the worker that comes in place of the one at an index.
 func (p *platform) replacementID(index int) string {
 	p.mu.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -19,6 +19,7 @@
 	DiscoveryCrowded   FaultKind = "discovery-crowded"   // seven of eight polls get status 503
 	DiscoveryMoved     FaultKind = "discovery-moved"     // to another address, with SIGHUP to every router
 	DiscoveryRestarted FaultKind = "discovery-restarted" // it numbers its events from 1 again
+	ClockStepped       FaultKind = "clock-stepped"       // start times in the list are off by an hour from now on
 	WorkerDrained      FaultKind = "worker-drained"      // drains, is removed, and comes back cold at its address
 	WorkerKilled       FaultKind = "worker-killed"       // its connections are reset; it comes back cold
 	WorkerHung         FaultKind = "worker-hung"         // accepts requests and answers nothing
@@ -26,12 +27,13 @@
 	WorkerReplaced     FaultKind = "worker-replaced"     // by another one, with another id, at its address
 	WorkerSlow         FaultKind = "worker-slow"         // requests take ten times as long
 	WorkerResets       FaultKind = "worker-resets"       // its connections are reset several times
-	RouterTerminated   FaultKind = "router-terminated"   // SIGTERM, and SIGKILL as early as the platform may send it
+	RouterTerminated   FaultKind = "router-terminated"   // SIGTERM, more signals, and SIGKILL as early as the platform may send it
 	RouterKilled       FaultKind = "router-killed"       // SIGKILL
 	RouterStopped      FaultKind = "router-stopped"      // SIGSTOP, then SIGCONT
 	RouterReloaded     FaultKind = "router-reloaded"     // SIGHUP four times in a row, with the same configuration
 	TrafficBurst       FaultKind = "traffic-burst"       // three times as many calls
 	ClientsLeave       FaultKind = "clients-leave"       // one client in five closes its connection early
+	ConnectionCrowd    FaultKind = "connection-crowd"    // hundreds of connections to a router that send nothing or half a request
 )
 
 // Fault is one fault of a schedule.
--- a/internal/upstream/respupstream/assign.go
+++ b/internal/upstream/respupstream/assign.go
@@ -45,7 +45,7 @@
 	if w.connecting == 0 && len(w.conns) == 0 {
 		if idle := p.evictIdle(); idle != nil {
 			p.startDial(w, x)
-			return idle.close
+			return func() { idle.close() }
 		}
 	}
 	p.await(w, x) // for a connect in progress, or until the sweep assigns it again
--- a/internal/upstream/respupstream/conn.go
+++ b/internal/upstream/respupstream/conn.go
@@ -107,22 +107,36 @@
 	c.close()
 }
 
-// onClosed is netpoll's callback before it closes the descriptor.
+// onClosed is netpoll's callback before it closes the descriptor. If the pool has not closed the connection, the worker did or
+// its process has ended.
 func (c *conn) onClosed() {
 	c.socket.markClosed()
-	c.close()
+	if c.close() {
+		c.reportLost()
+	}
+}
+
+// reportLost reports to the router that a connection to the worker was lost. The lock is not held.
+func (c *conn) reportLost() {
+	c.pool.mu.Lock()
+	listed := !c.worker.removed
+	c.pool.mu.Unlock()
+	if listed {
+		c.pool.router.WorkerConnectionLost(c.worker.id)
+	}
 }
 
 // close closes the connection and ends or reassigns its exchanges. Only the first call has an effect. Exchanges in flight
 // may have run, so they end as ConnectionReset. Queued ones have not, so they are assigned to other connections. An exchange
-// that is being written is left to the write loop, which knows how much of it the system accepted. The lock is not held.
-func (c *conn) close() {
+// that is being written is left to the write loop, which knows how much of it the system accepted. It reports whether this was
+// the first call. The lock is not held.
+func (c *conn) close() (first bool) {
 	p := c.pool
 	var callbacks []func()
 	p.mu.Lock()
 	if c.closed {
 		p.mu.Unlock()
-		return
+		return false
 	}
 	c.closed = true
 	c.drain()
@@ -141,6 +155,7 @@
 	p.mu.Unlock()
 	runCallbacks(callbacks...)
 	_ = c.netConn.Close()
+	return true
 }
 
 // reassignUnwritten assigns the exchanges that were queued on a closed connection to other connections. Cancellations are
--- a/internal/upstream/respupstream/write.go
+++ b/internal/upstream/respupstream/write.go
@@ -210,6 +210,9 @@
 	runCallbacks(callback)
 	p.config.Logger.Debug("write to worker failed", "endpoint", c.worker.id, "error", err)
 	c.close()
+	if !errors.Is(err, errWriteAbandoned) {
+		c.reportLost()
+	}
 }
 
 // writeCompleted records that the system accepted the whole message. If the connection has closed meanwhile, the exchange
