dispatch, router: why a request ended, was retried or loaded for is counted and logged

Change: RejectRequest, FailRequest and LoadFunction carry a cause; the state line begins with the list's age, whether it is believed, the checks for leases and the drains that workers reported; a line causes counts ends, retries and loads by cause; at debug level each has the client's id.

--- a/dispatch/acceptance.go
+++ b/dispatch/acceptance.go
@@ -37,16 +37,16 @@
 // routeRequest starts an attempt, has the request wait for a load, a load report or a worker, or ends it.
 func (d *Dispatcher) routeRequest(r *request) {
 	r.needsAttempt = true
-	if !d.mayAttempt(r) {
+	if obstacle := d.attemptObstacle(r); obstacle != CauseNone {
 		if r.inFlight == 0 {
-			d.finishUnserved(r)
+			d.finishUnserved(r, obstacle)
 		}
 		return
 	}
 	w := d.selectWorker(r)
 	switch {
 	case w == nil && d.isUnservable() && r.inFlight == 0:
-		d.finishUnserved(r)
+		d.finishUnserved(r, CauseNoLease)
 	case w == nil:
 		if r.inFlight == 0 {
 			d.pending = append(d.pending, r)
@@ -66,7 +66,7 @@
 func (d *Dispatcher) awaitLoad(r *request, p *placement) {
 	loadedAt := p.loadCommandedAt + d.expectedLoadTime(r.function)
 	if loadedAt+r.expectedRunTime()/minRunTimeDivisor >= r.deadline {
-		d.finishUnserved(r)
+		d.finishUnserved(r, CauseLoadTooLate)
 		return
 	}
 	p.awaitingLoad = append(p.awaitingLoad, r)
--- a/dispatch/actions.go
+++ b/dispatch/actions.go
@@ -25,10 +25,14 @@
 type RejectRequest struct {
 	ID         RequestID
 	RetryAfter time.Duration // 0: no advice
+	Cause      EndCause
 }
 
 // FailRequest is a final answer which promises nothing: the request may have run.
-type FailRequest struct{ ID RequestID }
+type FailRequest struct {
+	ID    RequestID
+	Cause EndCause
+}
 
 // LoadFunction commands a worker to hold Copies of a function; 0 only asks how many it holds. It is answered by a
 // FunctionLoaded.
@@ -37,6 +41,7 @@
 	Function   string
 	Copies     int
 	SendBefore time.Duration // as of StartAttempt
+	Cause      LoadCause
 }
 
 // CheckHealth sends a health check to a worker. It is answered by a HealthChecked.
--- a/dispatch/attemptrules.go
+++ b/dispatch/attemptrules.go
@@ -47,22 +47,26 @@
 	return false
 }
 
-// mayAttempt reports whether a request may get a further attempt. It may not if it has had its attempts, if
-// it can't be served before its deadline, if the retry budget is used up, or if an earlier attempt may have
-// run and no worker may repeat it.
-func (d *Dispatcher) mayAttempt(r *request) bool {
-	exhausted := r.streaming != nil || len(r.attempts) >= d.settings.MaxAttempts
-	tooLate := r.inFlight == 0 && d.now+r.expectedRunTime()/minRunTimeDivisor >= r.deadline
-	if exhausted || tooLate || d.isOverRetryBudget(r) {
-		return false
-	}
-	if !r.mayHaveRun() {
-		return true
-	}
-	if r.class.Idempotency == NonIdempotent {
-		return false
+// attemptObstacle returns what keeps a request from a further attempt, CauseNone if nothing does: it has had its attempts, it
+// can't be served before its deadline, the retry budget is used up, or an earlier attempt may have run and no worker may
+// repeat it.
+func (d *Dispatcher) attemptObstacle(r *request) EndCause {
+	switch {
+	case r.streaming != nil || len(r.attempts) >= d.settings.MaxAttempts:
+		return CauseAttemptsExhausted
+	case r.inFlight == 0 && d.now+r.expectedRunTime()/minRunTimeDivisor >= r.deadline:
+		return CauseTooLate
+	case d.isOverRetryBudget(r):
+		return CauseRetryBudget
+	case !r.mayHaveRun():
+		return CauseNone
+	case r.class.Idempotency == NonIdempotent:
+		return CauseMayHaveRun
+	case r.inFlight > 0 || d.repeatableSomewhere(r):
+		return CauseNone
+	default:
+		return CauseMayHaveRun
 	}
-	return r.inFlight > 0 || d.repeatableSomewhere(r)
 }
 
 // isOverRetryBudget reports whether the next attempt of a request would be a retry that the budget does not
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -26,14 +26,14 @@
 
 // finishUnserved gives a final answer that is not a response. It is a rejection where a retry by the client
 // is harmless, and a failure elsewhere. There is no other way to end a request without a response.
-func (d *Dispatcher) finishUnserved(r *request) {
+func (d *Dispatcher) finishUnserved(r *request, cause EndCause) {
 	if r.done {
 		return
 	}
 	if r.streaming == nil && r.isRepeatHarmless() {
-		d.emit(RejectRequest{ID: r.ID, RetryAfter: d.retryAfter()})
+		d.emit(RejectRequest{ID: r.ID, RetryAfter: d.retryAfter(), Cause: cause})
 	} else {
-		d.emit(FailRequest{ID: r.ID})
+		d.emit(FailRequest{ID: r.ID, Cause: cause})
 	}
 	d.closeRequest(r)
 }
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -13,7 +13,7 @@
 //   - Events and their slices belong to the caller again when Step returns. The returned slice is valid until the next
 //     call.
 //
-// The interface stands in settings.go, events.go and actions.go. What is remembered stands in state.go, worker.go,
+// The interface stands in settings.go, events.go, actions.go and causes.go. What is remembered stands in state.go, worker.go,
 // function.go, request.go and timers.go, which take no decision. Every decision and every tuned value stands in the other
 // files, which deploy/balancer.toml lists under "policy":
 //
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -48,8 +48,27 @@
 	Cancelled
 	NotSent
 	NotResident // the worker does not hold the function
+	resultCount
 )
 
+// ResultCount is the number of results.
+const ResultCount = int(resultCount)
+
+// resultNames are the results as logs and metrics have them.
+var resultNames = [ResultCount]string{
+	OK:              "ok",
+	Errored:         "error",
+	Rejected:        "rejected",
+	TimedOut:        "timed_out",
+	ConnectFailed:   "connect_failed",
+	ConnectionReset: "connection_reset",
+	Cancelled:       "cancelled",
+	NotSent:         "not_sent",
+	NotResident:     "not_resident",
+}
+
+func (r Result) String() string { return resultNames[r] }
+
 // provesNotRun reports whether an attempt that ended so never ran.
 func (r Result) provesNotRun() bool {
 	return r == Rejected || r == ConnectFailed || r == NotSent || r == NotResident
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -43,7 +43,7 @@
 // keeps to the backoff after a failed load, to the bound of commands in flight and to the given fraction of
 // the rate limit, and sends none to a worker that is not active or holds no lease. There is no other way to send a load
 // command.
-func (d *Dispatcher) commandLoad(f *function, w *worker, limitFraction float64) bool {
+func (d *Dispatcher) commandLoad(f *function, w *worker, limitFraction float64, cause LoadCause) bool {
 	if f.placementOn(w).loadCommandedAt > 0 {
 		return true
 	}
@@ -56,7 +56,7 @@
 	}
 	f.ensurePlacement(w).loadCommandedAt = d.now
 	w.pendingLoads++
-	d.emit(LoadFunction{Worker: w.ID, Function: f.key, Copies: 1, SendBefore: d.sendBefore(w)})
+	d.emit(LoadFunction{Worker: w.ID, Function: f.key, Copies: 1, SendBefore: d.sendBefore(w), Cause: cause})
 	return true
 }
 
--- a/dispatch/retries.go
+++ b/dispatch/retries.go
@@ -21,7 +21,7 @@
 func (d *Dispatcher) requestTimerFired(r *request) {
 	switch {
 	case d.now >= r.deadline:
-		d.finishUnserved(r)
+		d.finishUnserved(r, CauseDeadline)
 	case r.inFlight > 0:
 		last := r.attempts[len(r.attempts)-1]
 		d.releaseConcurrency(last)
@@ -33,10 +33,11 @@
 
 // retryRequest continues a request after an attempt at w ended without a final answer.
 func (d *Dispatcher) retryRequest(r *request, w *worker, result Result) {
+	obstacle := d.attemptObstacle(r)
 	switch {
-	case !d.mayAttempt(r):
-		d.finishUnserved(r)
-	case result == NotResident && d.commandLoad(r.function, w, 1):
+	case obstacle != CauseNone:
+		d.finishUnserved(r, obstacle)
+	case result == NotResident && d.commandLoad(r.function, w, 1, LoadForRequest):
 		d.routeRequest(r)
 	case result == NotResident && w.pendingLoads < maxPendingLoads,
 		result == Rejected && len(r.attempts) >= 2:
@@ -82,7 +83,7 @@
 		blocked[r.function] = len(d.pending) > before
 	}
 	if blocked[r.function] && late {
-		d.finishUnserved(r)
+		d.finishUnserved(r, CauseOverload)
 		d.pending = d.pending[:before]
 	}
 }
--- a/dispatch/selection.go
+++ b/dispatch/selection.go
@@ -72,7 +72,7 @@
 // prefetch commands a load at the preferred worker, for the requests to come: another worker serves this one.
 func (d *Dispatcher) prefetch(s *selection) {
 	if s.preferred != nil && d.settings.LoadCommandsAllowed {
-		d.commandLoad(s.request.function, s.preferred, 1)
+		d.commandLoad(s.request.function, s.preferred, 1, LoadAhead)
 	}
 }
 
@@ -80,7 +80,7 @@
 // request.
 func (d *Dispatcher) selectWithoutResident(s *selection) *worker {
 	if s.preferred != nil && s.residentLimited && d.settings.LoadCommandsAllowed {
-		d.commandLoad(s.request.function, s.preferred, prefetchRatio)
+		d.commandLoad(s.request.function, s.preferred, prefetchRatio, LoadForRequest)
 		return nil // the request waits for the load or for the concurrency limit, whichever comes first
 	}
 	nothingToWaitFor := s.preferred == nil && !s.limited && !s.backingOff
--- a/internal/httprouter/stats.go
+++ b/internal/httprouter/stats.go
@@ -11,6 +11,10 @@
 	watcher := s.watcher.Stats()
 	perServedMS := func(sum time.Duration) float64 { return sum.Seconds() * 1000 / float64(max(router.Served, 1)) }
 	s.logger.Info("state",
+		"list_age_ms", router.ListAge.Milliseconds(),
+		"list_expired", router.ListExpired,
+		"lease_checks", router.LeaseChecks,
+		"drains_reported", router.DrainsReported,
 		"calls", router.Calls,
 		"served", router.Served,
 		"refused", router.Rejected,
@@ -39,4 +43,7 @@
 		"module_ms", perServedMS(router.ServedDuration),
 		"waited_ms", perServedMS(upstream.QueueTime),
 		"wire_ms", perServedMS(upstream.ResponseTime))
+	if causes := router.Causes.Attributes(); len(causes) > 0 {
+		s.logger.Info("causes", causes...)
+	}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -46,8 +46,11 @@
 	r.stats.Attempts++
 	r.stats.AttemptsInFlight++
 	if r.debug {
-		r.cfg.Logger.Debug("attempt started", "call", call.id, "attempt", a.number, "endpoint", a.worker,
-			"class", call.submitted.Class)
+		r.cfg.Logger.Debug("attempt started", "call", call.id, "client_id", call.submitted.ClientID, "attempt", a.number,
+			"endpoint", a.worker, "class", call.submitted.Class)
+	}
+	if a.number > 0 {
+		r.stats.Causes.Retries[call.attempts[a.number-1].result]++
 	}
 	a.timeout.Value = func() { r.attemptTimedOut(a) }
 	r.timers.Add(&a.timeout, endsAt)
@@ -104,6 +107,7 @@
 	if a.timedOut && result.Result == dispatch.Cancelled {
 		result.Result = dispatch.TimedOut
 	}
+	a.result = result.Result
 	call := a.call
 	wasDone := call.state == callDone
 	done := call.attemptEnded(a, result)
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -10,6 +10,7 @@
 // Call is one call as a server accepted it. The router keeps it until the call and its attempts have ended; nobody
 // changes it meanwhile.
 type Call struct {
+	ClientID               string // the client's own id of the call, for the log
 	Function               string // the key by which the dispatcher knows the function
 	Class                  string
 	Tenant                 string
@@ -97,7 +98,8 @@
 	handle    UpstreamAttempt // nil: the attempt was never passed to the upstream
 	timeout   timingwheel.Timer
 	ended     bool
-	timedOut  bool // it was cancelled by its time-out
+	result    dispatch.Result // of an ended one
+	timedOut  bool            // it was cancelled by its time-out
 }
 
 // awaitsResponse reports whether a further attempt may be of use: no response has started, and the client still waits.
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -62,6 +62,7 @@
 		return
 	}
 	r.stats.Rejected++
+	r.recordCause(call, action.Cause, "call rejected")
 	r.removeIfEnded(call)
 }
 
@@ -72,6 +73,7 @@
 		return
 	}
 	r.stats.Failed++
+	r.recordCause(call, action.Cause, "call failed")
 	call.cancelAnswering()
 	r.removeIfEnded(call)
 }
@@ -82,3 +84,12 @@
 		delete(r.calls, call.id)
 	}
 }
+
+// recordCause counts, and logs at debug level, why the dispatcher ended a call.
+func (r *Router) recordCause(call *activeCall, cause dispatch.EndCause, message string) {
+	r.stats.Causes.Ends[cause]++
+	if r.debug {
+		r.cfg.Logger.Debug(message, "call", call.id, "client_id", call.submitted.ClientID, "class", call.submitted.Class,
+			"cause", cause, "attempts", len(call.attempts))
+	}
+}
--- a/internal/router/workers.go
+++ b/internal/router/workers.go
@@ -14,9 +14,10 @@
 		return
 	}
 	r.stats.Loads++
+	r.stats.Causes.Loads[action.Cause]++
 	if r.debug {
 		r.cfg.Logger.Debug("function load started", "endpoint", action.Worker, "function", action.Function,
-			"copies", action.Copies)
+			"copies", action.Copies, "cause", action.Cause)
 	}
 	limits := SendLimits{Remaining: r.cfg.LoadTimeout, SendBefore: r.timeAt(action.SendBefore)}
 	r.upstream.LoadFunction(action.Worker, action.Function, action.Copies, limits, func(result LoadResult) {
--- a/internal/server/httpserver/parse.go
+++ b/internal/server/httpserver/parse.go
@@ -72,6 +72,7 @@
 	}
 	now := time.Now()
 	call := &router.Call{
+		ClientID:               id,
 		Function:               function,
 		Class:                  class,
 		ConcurrencyPerInstance: 1,
