discovery: a list that a router starts with is believed for the grace only, until answered

Cause: a router that starts during an outage believed its first list for 2 s more, though what changes then counts as notified at once (TestRelatedPathsOfAnOutage/a router starts during the outage: 1.0 s and 1.4 s after the notification). The connect failed, so the first question was never reported. Ruled out: the restarted process's leases (it had none). Change: the start itself is reported as asked again; the report carries the time of the question, and an answer to that question ends it.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -92,7 +92,7 @@
 	case EndpointListConfirmed:
 		d.confirmList(e)
 	case EndpointListAskedAgain:
-		d.askListAgain()
+		d.askListAgain(e)
 	case Request:
 		d.acceptRequest(e)
 	case AttemptEnded:
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -149,8 +149,9 @@
 // to have a list that is always complete.
 type EndpointListConfirmed struct{ At time.Duration }
 
-// EndpointListAskedAgain says that the list is asked for again, after a failure.
-type EndpointListAskedAgain struct{}
+// EndpointListAskedAgain says that the list is asked for again at a time, after a failure, or for the first time. A
+// confirmation for the same time is the answer.
+type EndpointListAskedAgain struct{ At time.Duration }
 
 // ConnectionLost says that a connection to a worker was ended, and not by this router. The attempts on it end by events of
 // their own.
--- a/dispatch/freshness.go
+++ b/dispatch/freshness.go
@@ -88,9 +88,9 @@
 
 // askListAgain notes that the endpoint list is asked for again. Only the first time since it was confirmed counts: what had
 // changed by then is notified.
-func (d *Dispatcher) askListAgain() {
+func (d *Dispatcher) askListAgain(e EndpointListAskedAgain) {
 	if d.list.askedAgainAt <= d.list.confirmedAt {
-		d.list.askedAgainAt = d.now
+		d.list.askedAgainAt = e.At
 	}
 }
 
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -29,8 +29,8 @@
 	asked := w.newQuestion()
 	conn.asked = asked
 	before := w.log.revision
-	if w.askAgain && w.cfg.OnAskedAgain != nil {
-		w.cfg.OnAskedAgain()
+	if w.askAgain {
+		w.reportAskedAgain(asked.routerTime)
 	}
 	if err := conn.send(pollRequest(conn.address, asked.revision, asked.wait)); err != nil {
 		return err
@@ -53,15 +53,16 @@
 
 // question is what a poll asked for.
 type question struct {
-	at       time.Time     // when it was asked
-	revision int64         // events after it are asked for; 0: the complete list
-	wait     time.Duration // how long the server may hold the poll
-	complete bool          // the response has to begin with a snapshot
+	at         time.Time     // when it was asked
+	routerTime time.Duration // the same by the router's clock
+	revision   int64         // events after it are asked for; 0: the complete list
+	wait       time.Duration // how long the server may hold the poll
+	complete   bool          // the response has to begin with a snapshot
 }
 
 // newQuestion returns what the next poll asks for.
 func (w *Watcher) newQuestion() question {
-	asked := question{at: time.Now(), revision: w.log.revision, wait: w.cfg.PollWait}
+	asked := question{at: time.Now(), routerTime: w.cfg.RouterClock.Clock(), revision: w.log.revision, wait: w.cfg.PollWait}
 	if w.askAgain {
 		asked.wait = min(asked.wait, firstWaitAfterFailure)
 	}
@@ -72,15 +73,14 @@
 	return asked
 }
 
-// currentAt returns when the list was current by a response. One without events was written when the poll's wait was over.
-// One with events may have been written at any time since the poll was sent: the process may have been stopped meanwhile.
-func (q question) currentAt(hasEvents bool) time.Time {
-	now := time.Now()
-	heldUntil := q.at.Add(q.wait)
-	if hasEvents || now.Before(heldUntil) {
-		return q.at
-	}
-	return heldUntil
+// currentAt returns when the list was current by a response that was read now, on the router's clock. One without events was
+// written when the poll's wait was over. One with events may have been written at any time since the poll was sent: the
+// process may have been stopped meanwhile.
+func (q question) currentAt(hasEvents bool, now time.Time) time.Duration {
+	if hasEvents || now.Sub(q.at) < q.wait {
+		return q.routerTime
+	}
+	return q.routerTime + q.wait
 }
 
 // awaitResponse waits for the response on a connection, for as long as a poll may take. Meanwhile it applies the responses
@@ -143,9 +143,7 @@
 	if update != nil {
 		w.publish(update)
 	}
-	clock := w.cfg.RouterClock
-	age := time.Since(asked.currentAt(len(response.Events) > 0))
-	w.confirm(clock.Clock() - age)
+	w.confirm(asked.currentAt(len(response.Events) > 0, time.Now()))
 	return nil
 }
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -22,7 +22,7 @@
 	RouterClock      endpoints.RouterClock         // the router's clock, to which start times are converted
 	OnUpdate         func(update endpoints.Update) // called with each change of the list, never concurrently
 	OnConfirmed      func(at time.Duration)        // called when the list is known to hold all changes up to a router time; nil: not called
-	OnAskedAgain     func()                        // called before the first poll and each that follows a failed or interrupted one; nil: not called
+	OnAskedAgain     func(at time.Duration)        // called at the start and before each poll that follows a failed or interrupted one, with the router time; nil: not called
 	Logger           *slog.Logger                  // nil discards
 
 	// Tests replace these; nil stands for the functions of the same name.
@@ -115,11 +115,20 @@
 	update.Snapshot = true // there was nothing before it
 	w.log.revision = max(w.log.revision, *initial.Revision)
 	w.publish(update)
-	w.confirm(w.cfg.RouterClock.Clock())
+	now := w.cfg.RouterClock.Clock()
+	w.confirm(now)
+	w.reportAskedAgain(now + 1) // the server may be out of reach, for how long is not known
 	w.stats.Revision = w.log.revision
 	return nil
 }
 
+// reportAskedAgain reports that the server is asked, or would be if it could be reached, after a time without an answer.
+func (w *Watcher) reportAskedAgain(at time.Duration) {
+	if w.cfg.OnAskedAgain != nil {
+		w.cfg.OnAskedAgain(at)
+	}
+}
+
 // confirm records and reports that the list holds all changes up to a time on the router's clock.
 func (w *Watcher) confirm(at time.Duration) {
 	w.starts.ListCurrent(at)
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -42,6 +42,8 @@
 // requirePassed plays a schedule and fails the test with the timeline of its first violation.
 func requirePassed(t *testing.T, s Schedule) *Report {
 	t.Helper()
+	playing <- struct{}{}
+	defer func() { <-playing }()
 	report, err := Run(s, Options{NodeCommand: nodeCommand})
 	if err != nil {
 		t.Fatal(err)
@@ -74,3 +76,6 @@
 		FunctionSkew: 1.3,
 	}
 }
+
+// playing limits how many schedules are played at once: on a machine that is busy, the routers would wait for a processor.
+var playing = make(chan struct{}, 3)
--- /dev/null
+++ b/internal/soak/related_paths_test.go
@@ -0,0 +1,66 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRelatedPathsOfAnOutage plays what else can meet a router whose view of the workers is old.
+func TestRelatedPathsOfAnOutage(t *testing.T) {
+	t.Parallel()
+	const outage = 8 * time.Second
+	drain := func(at, lasts time.Duration, worker int) Fault {
+		return Fault{Kind: WorkerDrained, At: at, Duration: lasts, Target: worker}
+	}
+	for _, test := range []struct {
+		name   string
+		faults []Fault
+		change func(*Schedule)
+	}{
+		{"the process is stopped while a worker begins to drain", []Fault{
+			{Kind: RouterStopped, At: 2 * time.Second, Duration: 2 * time.Second},
+			drain(2200*time.Millisecond, 4*time.Second, 2),
+		}, nil},
+		{"a router starts during the outage", []Fault{
+			{Kind: DiscoveryRefused, At: time.Second, Duration: outage},
+			{Kind: RouterTerminated, At: 2 * time.Second},
+			{Kind: RouterKilled, At: 3 * time.Second, Target: 1},
+			drain(4500*time.Millisecond, 4*time.Second, 2),
+		}, nil},
+		{"discovery moves in the middle of its silence", []Fault{
+			{Kind: DiscoverySilent, At: time.Second, Duration: outage},
+			{Kind: DiscoveryMoved, At: 3 * time.Second},
+			drain(3200*time.Millisecond, 4*time.Second, 2),
+		}, nil},
+		{"a worker drains, ends and returns during the outage", []Fault{
+			{Kind: DiscoveryRefused, At: time.Second, Duration: outage},
+			drain(1500*time.Millisecond, 2*time.Second, 2),
+			{Kind: WorkerKilled, At: 2 * time.Second, Duration: time.Second, Target: 5},
+		}, nil},
+		{"health checks are not allowed", []Fault{
+			{Kind: DiscoveryRefused, At: time.Second, Duration: outage},
+			drain(3*time.Second, 4*time.Second, 2),
+		}, func(s *Schedule) {
+			s.Settings.HealthChecksAllowed = false
+			s.MinServed = minServedUnchecked
+		}},
+		{"deadlines are short", []Fault{
+			{Kind: DiscoverySilent, At: time.Second, Duration: outage},
+			drain(3*time.Second, 4*time.Second, 2),
+		}, func(s *Schedule) {
+			s.Settings.Deadline = 50 * time.Millisecond
+			s.MinServed = 0.9
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := usualSchedule()
+			s.Duration = 10 * time.Second
+			s.Faults = test.faults
+			if test.change != nil {
+				test.change(&s)
+			}
+			requirePassed(t, s)
+		})
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -106,7 +106,7 @@
 	}
 	records, violations := r.judge(slack)
 	share, calls := servedShare(records)
-	report := &Report{Schedule: r.schedule, Served: share, Calls: calls, Slack: slack, Failures: r.failures(violations, share)}
+	report := &Report{Schedule: r.schedule, Served: share, Calls: calls, Slack: slack, Failures: r.failures(violations, share, slack)}
 	if len(violations) > 0 {
 		report.Timeline = r.timeline(records, violations[0])
 	}
--- /dev/null
+++ b/internal/soak/seeds_test.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+// TestSeeds plays schedules of fixed seeds: of each kind of fault of discovery one at least, and the seeds on which the soak
+// found something before (3, 24 and 51).
+func TestSeeds(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{3, 10, 24, 51} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			requirePassed(t, Draw(seed))
+		})
+	}
+}
+
+// TestDrawIsReproducible checks that a seed always draws the same schedule, and different ones different schedules.
+func TestDrawIsReproducible(t *testing.T) {
+	for seed := range uint64(50) {
+		s := Draw(seed)
+		if !reflect.DeepEqual(s, Draw(seed)) {
+			t.Errorf("seed %d draws two schedules", seed)
+		}
+		if reflect.DeepEqual(s.Faults, Draw(seed+1).Faults) {
+			t.Errorf("seeds %d and %d draw the same faults", seed, seed+1)
+		}
+		if len(s.Faults) == 0 || !s.Faults[0].Kind.isKnown() {
+			t.Errorf("seed %d: %v", seed, s)
+		}
+	}
+}
+
+// isKnown reports whether a run can carry the kind out.
+func (k FaultKind) isKnown() bool { return players[k] != nil }
+
+// TestShrinkKeepsWhatFails has schedules fail if two of five faults are there. Shrink finds these two.
+func TestShrinkKeepsWhatFails(t *testing.T) {
+	s := Schedule{}
+	for target := range 5 {
+		s.Faults = append(s.Faults, Fault{Kind: WorkerHung, Target: target})
+	}
+	fails := func(s Schedule) bool {
+		found := 0
+		for _, fault := range s.Faults {
+			if fault.Target == 1 || fault.Target == 3 {
+				found++
+			}
+		}
+		return found == 2
+	}
+	for runs, want := range map[int]int{10: 2, 2: 4} {
+		if smallest := Shrink(s, runs, fails); len(smallest.Faults) != want || !fails(smallest) {
+			t.Errorf("%d runs: %v", runs, smallest)
+		}
+	}
+}
