--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -13,16 +13,23 @@
 
 // follower reads one file for as long as FollowFile runs, in its caller's goroutine.
 type follower struct {
+	FileHandler
 	path        string
-	apply       func(raw []byte) error
-	reject      func(error)
 	lastContent string
 	unreadable  bool // the last read failed
+	rejected    bool // Apply rejected lastContent
 }
 
-// FollowFile calls apply with a file's content now and after each change, and reject with the error where the file cannot
-// be read or apply fails. Content that apply rejected is not tried again until it changes. It returns when stop is closed.
-func FollowFile(path string, stop <-chan struct{}, apply func(raw []byte) error, reject func(error)) {
+// FileHandler is told of a file that is followed.
+type FileHandler struct {
+	Apply   func(raw []byte) error // takes the content, now and after each change
+	Reject  func(error)            // takes the error where the file can't be read or Apply fails
+	Confirm func(readAt time.Time) // is called after each read that found what was last applied; nil: not called
+}
+
+// FollowFile tells a handler of a file's content. Content that Apply rejected is not tried again until it changes. It returns
+// when stop is closed.
+func FollowFile(path string, stop <-chan struct{}, handler FileHandler) {
 	// Watches are few on some systems (inotify(7), max_user_instances). Without one the file is polled
 	// all the same: a worker list must not go unread because of that.
 	var events chan fsnotify.Event
@@ -34,7 +41,7 @@
 			events, errs = watcher.Events, watcher.Errors
 		}
 	}
-	f := &follower{path: path, apply: apply, reject: reject}
+	f := &follower{path: path, FileHandler: handler}
 	f.read()
 	ticker := time.NewTicker(PollInterval)
 	defer ticker.Stop()
@@ -47,7 +54,7 @@
 				f.read()
 			}
 		case err := <-errs:
-			reject(err)
+			handler.Reject(err)
 		case <-ticker.C:
 			f.read()
 		}
@@ -56,19 +63,30 @@
 
 // read applies the file's content if it has changed, or can be read again.
 func (f *follower) read() {
+	readAt := time.Now()
 	raw, err := os.ReadFile(f.path)
 	if err != nil {
 		if !f.unreadable { // reported once, not at each poll
-			f.reject(err)
+			f.Reject(err)
 		}
 		f.unreadable = true
 		return
 	}
-	if string(raw) == f.lastContent && !f.unreadable {
-		return
+	if string(raw) != f.lastContent || f.unreadable {
+		f.applyContent(raw)
+	}
+	if f.Confirm != nil && !f.rejected {
+		f.Confirm(readAt)
 	}
-	f.lastContent, f.unreadable = string(raw), false
-	if err := f.apply(raw); err != nil {
-		f.reject(err)
+}
+
+// applyContent applies content that is new, or was not readable for a while.
+func (f *follower) applyContent(raw []byte) {
+	f.lastContent = string(raw)
+	f.unreadable = false
+	err := f.Apply(raw)
+	f.rejected = err != nil
+	if err != nil {
+		f.Reject(err)
 	}
 }
--- a/internal/config/follow_test.go
+++ b/internal/config/follow_test.go
@@ -23,17 +23,19 @@
 
 // followedWorkers is a worker list under FollowWorkers.
 type followedWorkers struct {
-	t        *testing.T
-	applied  chan *WorkerList
-	rejected chan error
+	t         *testing.T
+	applied   chan *WorkerList
+	rejected  chan error
+	confirmed chan time.Time
 }
 
 // followWorkers follows a worker list until the test ends.
 func followWorkers(t *testing.T, path string) *followedWorkers {
-	f := &followedWorkers{t: t, applied: make(chan *WorkerList, 10), rejected: make(chan error, 100)}
+	f := &followedWorkers{t: t, applied: make(chan *WorkerList, 10), rejected: make(chan error, 100), confirmed: make(chan time.Time, 100)}
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
-		FollowWorkers(path, stop, func(list *WorkerList) { f.applied <- list }, func(err error) { f.rejected <- err })
+		FollowWorkers(path, stop, WorkerListHandler{Apply: func(list *WorkerList) { f.applied <- list },
+			Reject: func(err error) { f.rejected <- err }, Confirm: func(readAt time.Time) { f.confirmed <- readAt }})
 		close(ended)
 	}()
 	t.Cleanup(func() {
@@ -94,6 +96,42 @@
 	f.expectApplied(0)
 }
 
+// TestWorkerListIsConfirmedWhileItIsReadable checks that each read which finds the list in force confirms it, and that none
+// does while the file is invalid or missing.
+func TestWorkerListIsConfirmedWhileItIsReadable(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "w.json")
+	replaceFile(t, path, validWorkers)
+	f := followWorkers(t, path)
+	awaitConfirm := func() {
+		t.Helper()
+		select {
+		case <-f.confirmed:
+		case <-time.After(eventTimeout):
+			t.Fatal("the list was not confirmed")
+		}
+	}
+	f.expectApplied(2)
+	awaitConfirm()
+	awaitConfirm() // without a change
+	for name, spoil := range map[string]func(){
+		"invalid": func() { replaceFile(t, path, validWorkers[:40]) },
+		"missing": func() { _ = os.Remove(path) },
+	} {
+		spoil()
+		f.expectRejected()
+		for len(f.confirmed) > 0 {
+			<-f.confirmed
+		}
+		time.Sleep(2 * PollInterval)
+		if len(f.confirmed) > 0 {
+			t.Errorf("a list was confirmed while the file was %s", name)
+		}
+		replaceFile(t, path, validWorkers)
+		f.expectApplied(2)
+		awaitConfirm()
+	}
+}
+
 // TestFollowFileWithoutWatch guards against files that went unread where the system gave no watch: here the folder does
 // not exist yet.
 func TestFollowFileWithoutWatch(t *testing.T) {
@@ -102,8 +140,8 @@
 	applied, rejected, stop := make(chan string, 4), make(chan error, 4), make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
-		FollowFile(path, stop, func(raw []byte) error { applied <- string(raw); return nil },
-			func(err error) { rejected <- err })
+		FollowFile(path, stop, FileHandler{Apply: func(raw []byte) error { applied <- string(raw); return nil },
+			Reject: func(err error) { rejected <- err }})
 		close(ended)
 	}()
 	if err := <-rejected; err == nil {
--- a/internal/config/workers.go
+++ b/internal/config/workers.go
@@ -82,14 +82,21 @@
 // WriteWorkers replaces a worker list atomically: a reader sees the old list or the new one, never a part.
 func WriteWorkers(path string, list WorkerList) error { return WriteJSON(path, list) }
 
-// FollowWorkers calls apply with the worker list now and after each change, and reject with the error where the file cannot be
-// read or has problems; the list applied before stays in force. It returns when stop is closed.
-func FollowWorkers(path string, stop <-chan struct{}, apply func(*WorkerList), reject func(error)) {
-	FollowFile(path, stop, func(raw []byte) error {
+// WorkerListHandler is told of a worker list that is followed.
+type WorkerListHandler struct {
+	Apply   func(*WorkerList)      // takes the list, now and after each change
+	Reject  func(error)            // takes the error where the file can't be read or has problems; the list applied before stays in force
+	Confirm func(readAt time.Time) // is called after each read that found the list in force
+}
+
+// FollowWorkers tells a handler of a worker list. It returns when stop is closed.
+func FollowWorkers(path string, stop <-chan struct{}, handler WorkerListHandler) {
+	apply := func(raw []byte) error {
 		list, err := ParseWorkers(path, raw)
 		if err == nil {
-			apply(list)
+			handler.Apply(list)
 		}
 		return err
-	}, reject)
+	}
+	FollowFile(path, stop, FileHandler{Apply: apply, Reject: handler.Reject, Confirm: handler.Confirm})
 }
--- a/internal/grpcgateway/gateway.go
+++ b/internal/grpcgateway/gateway.go
@@ -142,7 +142,9 @@
 		g.logger.Warn("worker list rejected, the previous one stays in force", "error", err)
 		once.Do(func() { close(firstRead) })
 	}
-	g.followers.Go(func() { config.FollowWorkers(g.cfg.Workers.File, g.stopFollowing, apply, reject) })
+	confirm := func(readAt time.Time) { g.router.EndpointListConfirmed(g.router.Clock() - time.Since(readAt)) }
+	handler := config.WorkerListHandler{Apply: apply, Reject: reject, Confirm: confirm}
+	g.followers.Go(func() { config.FollowWorkers(g.cfg.Workers.File, g.stopFollowing, handler) })
 	return firstRead
 }
 
--- a/internal/grpcgateway/gossip.go
+++ b/internal/grpcgateway/gossip.go
@@ -53,7 +53,9 @@
 	reject := func(err error) {
 		g.logger.Warn("gossip file rejected, its previous content stays in force", "error", err)
 	}
-	g.followers.Go(func() { config.FollowFile(path, g.stopFollowing, applyChange, reject) })
+	g.followers.Go(func() {
+		config.FollowFile(path, g.stopFollowing, config.FileHandler{Apply: applyChange, Reject: reject})
+	})
 }
 
 // applyMembers replaces the admitted routers by those of the file's content.
--- /dev/null
+++ b/internal/grpcgateway/worker_list_test.go
@@ -0,0 +1,31 @@
+package grpcgateway
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/topazfront/topazfront/internal/testsupport"
+)
+
+// TestCallsAreServedWithoutWorkerList has the list's file go. Once the list is out of date, workers are checked before they
+// get calls, all calls are served, and the list counts as current again when the file is back.
+func TestCallsAreServedWithoutWorkerList(t *testing.T) {
+	h := newHarness(t, 3, nil, nil)
+	h.loadModel("quote")
+	if err := os.Remove(h.path); err != nil {
+		t.Fatal(err)
+	}
+	testsupport.WaitUntil(t, "the list is out of date", func() bool { return h.stats().ListExpired })
+	for i := range 30 {
+		if _, err := h.infer(timeoutContext(t, 5*time.Second), newRequest("quote", fmt.Sprint("n", i), 1, 1, 1)); err != nil {
+			t.Errorf("call %d: %v", i, err)
+		}
+	}
+	if h.stats().LeaseChecks == 0 {
+		t.Error("no worker was checked")
+	}
+	h.writeWorkerList()
+	testsupport.WaitUntil(t, "the list is current again", func() bool { return !h.stats().ListExpired })
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -23,6 +23,7 @@
 	router *Router
 	mu     sync.Mutex
 	dead   map[string]bool
+	drains map[string]bool // workers that answer health checks as not ready
 }
 
 func (u *fakeUpstream) setDead(workers ...string) {
@@ -58,7 +59,10 @@
 	if u.isDead(worker) {
 		result = dispatch.TimedOut
 	}
-	done(HealthResult{Result: result, Ready: true, Report: NoWorkerReport})
+	u.mu.Lock()
+	ready := !u.drains[worker]
+	u.mu.Unlock()
+	done(HealthResult{Result: result, Ready: ready, Report: NoWorkerReport})
 }
 
 func (u *fakeUpstream) UpdateEndpoints([]endpoints.Worker) {}
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -40,7 +40,7 @@
 }
 
 // requirePassed plays a schedule and fails the test with the timeline of its first violation.
-func requirePassed(t *testing.T, s Schedule) *Report {
+func requirePassed(t *testing.T, s Schedule) {
 	t.Helper()
 	playing <- struct{}{}
 	defer func() { <-playing }()
@@ -60,7 +60,6 @@
 	for _, line := range report.Timeline {
 		t.Log(line)
 	}
-	return report
 }
 
 // usualSchedule is a small fleet without faults.
