--- a/cmd/topazfront/experiment.go
+++ b/cmd/topazfront/experiment.go
@@ -20,7 +20,7 @@
 type growthCmd struct {
 	Usual       []int         `default:"60,120" help:"Usual numbers of workers, that the others are compared with."`
 	Workers     []int         `default:"960,1920,3200" help:"Numbers of workers to judge."`
-	Runs        []string      `enum:"calm,rolling,surge" default:"calm,rolling,surge" help:"Runs at each size (calm, rolling, surge): no change, half of the workers replaced over the run, half of them within 7 s."`
+	Runs        []string      `enum:"calm,rolling,surge,outage" default:"calm,rolling,surge,outage" help:"Runs at each size (calm, rolling, surge, outage): no change, half of the workers replaced over the run, half of them within 7 s, discovery out of reach for half of the run."`
 	Routers     int           `default:"1" help:"Routers to run; the figures are their mean."`
 	Duration    time.Duration `default:"20s" help:"Time of the traffic in each run."`
 	Rate        float64       `default:"40" help:"Calls a second to each router."`
--- a/internal/experiment/growth/experiment_test.go
+++ b/internal/experiment/growth/experiment_test.go
@@ -37,7 +37,7 @@
 // testOptions are those of an experiment that takes seconds.
 func testOptions() Options {
 	return Options{
-		UsualSizes: []int{60}, Sizes: []int{960}, Disruptions: []Disruption{Calm, Surge}, Nodes: 1,
+		UsualSizes: []int{60}, Sizes: []int{960}, Disruptions: []Disruption{Calm, Surge, Outage}, Nodes: 1,
 		Duration: 3 * time.Second, CallsPerSecond: 20, Functions: 50, MemoryMB: 64, Cores: 1, Descriptors: 512, Seed: 1,
 		NodeCommand: func(configPath string) *exec.Cmd {
 			command := exec.Command(os.Args[0])
@@ -62,7 +62,7 @@
 		t.Fatal(err)
 	}
 	t.Logf("\n%s", table.String())
-	if want := len(rows) * 2; len(report.Verdicts) != want || len(report.Measurements) != 4 {
+	if want := len(rows) * 3; len(report.Verdicts) != want || len(report.Measurements) != 6 {
 		t.Fatalf("%d verdicts, want %d; %d measurements", len(report.Verdicts), want, len(report.Measurements))
 	}
 	for _, v := range report.Verdicts {
--- a/internal/experiment/growth/fleet.go
+++ b/internal/experiment/growth/fleet.go
@@ -143,6 +143,23 @@
 	}
 }
 
+// loseDiscovery has connections to discovery refused for a while, after a delay. It returns when stop is closed.
+func (f *fleet) loseDiscovery(after, duration time.Duration, stop <-chan struct{}) error {
+	select {
+	case <-time.After(after):
+	case <-stop:
+		return nil
+	}
+	f.discovery.Suspend()
+	select {
+	case <-time.After(duration):
+	case <-stop:
+	}
+	err := f.discovery.Resume()
+	<-stop
+	return err
+}
+
 // replaceOldest starts new workers in place of the oldest ones, which drain, and returns the lines of the event.
 func (f *fleet) replaceOldest(now time.Time, count int) (lines []string, err error) {
 	f.mu.Lock()
--- a/internal/experiment/growth/measure.go
+++ b/internal/experiment/growth/measure.go
@@ -90,6 +90,9 @@
 			disruptionErr = fleet.replace(int(float64(m.Workers)*replacedShare), duration, trafficEnded)
 		})
 	}
+	if m.Disruption == Outage {
+		disruption.Go(func() { disruptionErr = fleet.loseDiscovery(o.Duration/4, o.Duration/2, trafficEnded) })
+	}
 	samplingErr := sample(o, nodes, m, trafficEnded)
 	<-trafficEnded
 	disruption.Wait()
--- a/internal/experiment/growth/options.go
+++ b/internal/experiment/growth/options.go
@@ -13,6 +13,7 @@
 	Calm    Disruption = "calm"    // nothing
 	Rolling Disruption = "rolling" // half of the workers are replaced over the whole run
 	Surge   Disruption = "surge"   // half of the workers are replaced within 7 s
+	Outage  Disruption = "outage"  // discovery is out of reach for the middle half of the run
 )
 
 // Options are the settings of an experiment.
@@ -48,7 +49,7 @@
 		return o.Duration
 	case Surge:
 		return min(surgeDuration, o.Duration)
-	case Calm:
+	case Calm, Outage:
 		return 0
 	}
 	return 0
--- a/internal/experiment/growth/plot.go
+++ b/internal/experiment/growth/plot.go
@@ -30,6 +30,7 @@
 	Calm:    {R: 31, G: 95, B: 140, A: 255},
 	Rolling: {R: 90, G: 130, B: 50, A: 255},
 	Surge:   {R: 200, G: 95, B: 30, A: 255},
+	Outage:  {R: 110, G: 60, B: 140, A: 255},
 }
 
 // errNothingMeasured is the error of a plot without any figure.
