dispatch: a send has the time of a connect also where settings give no drain grace

Cause: by reading: with a drain grace of 0 a send had 25 ms for its first byte, and a connect alone may take 250.

--- a/dispatch/freshness.go
+++ b/dispatch/freshness.go
@@ -23,6 +23,9 @@
 	// platform has for each time limit.
 	minDrainGrace = 50 * time.Millisecond
 	leaseMargin   = 25 * time.Millisecond
+	// minSendWindow is the least time that a send has for its first byte while the endpoint list is believed: a connection may
+	// have to be made first.
+	minSendWindow = 200 * time.Millisecond
 	// minPause is the shortest time without a Step that counts as a pause of the process.
 	minPause = 150 * time.Millisecond
 	// checkInterval is the time between health checks of a worker for its lease, if the first was not answered.
@@ -77,7 +80,7 @@
 	if !d.list.tracked {
 		return 0
 	}
-	return min(d.leaseEnd(w), d.now+d.leaseDuration())
+	return min(d.leaseEnd(w), d.now+max(d.leaseDuration(), minSendWindow))
 }
 
 // confirmList notes that the endpoint list was complete at a time.
--- a/dispatch/freshness_test.go
+++ b/dispatch/freshness_test.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// TestSendHasTimeToConnectWithoutGrace has settings that give no drain grace. A send still has the time of a connect while
+// the list is believed.
+func TestSendHasTimeToConnectWithoutGrace(t *testing.T) {
+	h := newLeaseHarness(t, func(s *Settings) { s.DrainGrace = 0 })
+	if got := h.startAttempt("f", classIdempotent).SendBefore - h.now; got != minSendWindow {
+		t.Errorf("to be sent within %v", got)
+	}
+}
+
 // TestOneCheckServesAllRequests has requests come while the list is out of date. One health check is made for them; when
 // the worker is ready all are forwarded to it, and within its lease further requests need no check.
 func TestOneCheckServesAllRequests(t *testing.T) {
