dispatch, discovery, listen: leases in three files, queries apart from commands

Change: listfreshness.go, leases.go, leasechecks.go; wasInterrupted and forgetConnection; lasts, isLogDue and record. No behaviour changes.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -18,7 +18,8 @@
 // files, which deploy/balancer.toml lists under "policy":
 //
 //   - dispatcher.go: the step, which passes events on and sets the timer
-//   - freshness.go: how long it is believed that a worker does not drain, while the endpoint list can't be reached
+//   - listfreshness.go, leases.go, leasechecks.go: how long the endpoint list is believed, which workers may get something
+//     new, and the health checks that show it while the list can't be reached
 //   - endpoints.go, slowstart.go: which workers there are, and how much those that have just started may get
 //   - ranking.go, assignment.go, selection.go: the order in which a function prefers workers, the share of its demand
 //     that each is assigned, and the choice of one for a request
--- /dev/null
+++ b/dispatch/listfreshness.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import "time"
+
+// This file decides how long the endpoint list is believed after it was last confirmed: Dispatcher.list. Where a caller does
+// not report on the list at all, it is always believed.
+
+const (
+	// lossNotifiedAfter is how long after the endpoint list was lost what it would have shown counts as notified (the
+	// platform's protocol: 2 s after a break; its other clocks are later, or run out when the list is asked for again).
+	lossNotifiedAfter = 2 * time.Second
+	// minPause is the shortest time without a Step that counts as a pause of the process.
+	minPause = 150 * time.Millisecond
+)
+
+// listLeaseEnd is when the lease ends that the endpoint list gives to its active workers. What the list did not show
+// counts as notified when the list has been lost for lossNotifiedAfter, or as soon as it is asked for again. If the process
+// was paused, a change may have been notified at any time since the list was confirmed.
+func (d *Dispatcher) listLeaseEnd() time.Duration {
+	list := &d.list
+	if !list.tracked {
+		return forever
+	}
+	notifiedAt := list.confirmedAt + lossNotifiedAfter
+	if list.askedAgainAt > list.confirmedAt {
+		notifiedAt = min(notifiedAt, list.askedAgainAt)
+	}
+	if list.pausedUntil > list.confirmedAt {
+		notifiedAt = list.confirmedAt
+	}
+	return notifiedAt + d.leaseDuration()
+}
+
+// listIsCurrent reports whether the endpoint list is believed.
+func (d *Dispatcher) listIsCurrent() bool { return d.now < d.listLeaseEnd() }
+
+// confirmList notes that the endpoint list was complete at a time.
+func (d *Dispatcher) confirmList(e EndpointListConfirmed) {
+	d.list.tracked = true
+	d.list.confirmedAt = max(d.list.confirmedAt, min(e.At, d.now))
+}
+
+// askListAgain notes that the endpoint list is asked for again. Only the first time since it was confirmed counts: what had
+// changed by then is notified.
+func (d *Dispatcher) askListAgain(e EndpointListAskedAgain) {
+	if d.list.askedAgainAt <= d.list.confirmedAt {
+		d.list.askedAgainAt = e.At
+	}
+}
+
+// detectPause notes when the process did not run for a while. Whatever the list has shown since it was confirmed may then
+// wait to be read. Steps come often enough, see maxStepInterval.
+func (d *Dispatcher) detectPause(lastStep time.Duration) {
+	if d.list.tracked && d.now-lastStep > d.pauseThreshold() {
+		d.list.pausedUntil = d.now
+	}
+}
+
+// pauseThreshold is the time without a Step that counts as a pause of the process. A shorter one delays the news of a drain
+// by less than the drain grace.
+func (d *Dispatcher) pauseThreshold() time.Duration { return max(d.leaseDuration()/2, minPause) }
+
+// maxStepInterval is the longest time between two Steps without an event.
+func (d *Dispatcher) maxStepInterval() time.Duration {
+	if !d.list.tracked {
+		return rebalanceInterval
+	}
+	return d.pauseThreshold() / 2
+}
+
+// updateListState reports when the endpoint list is no longer believed, and when it is again. At the beginning of such a
+// time, the workers that the router had lost contact with may have been restarted since the list was confirmed.
+func (d *Dispatcher) updateListState() {
+	current := d.listIsCurrent()
+	if current != d.list.expired {
+		return
+	}
+	d.list.expired = !current
+	d.emit(EndpointListStateChanged{Current: current, Age: d.now - d.list.confirmedAt})
+	for _, w := range d.activeWorkers {
+		d.noteRestart(w)
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -199,7 +199,8 @@
 			w.late.close() // they ask for events that the answered poll has brought
 			continue
 		}
-		interrupted := w.recordFailure(ctx, address, err)
+		interrupted := w.wasInterrupted(ctx, address, err)
+		w.forgetConnection(!interrupted)
 		if interrupted {
 			w.late.close()
 		}
@@ -266,17 +267,21 @@
 	return address, conn, nil
 }
 
-// recordFailure forgets the connection after a poll that ended with an error. It reports whether the poll was interrupted
-// by a change of the address or by Close, which is no failure.
-func (w *Watcher) recordFailure(ctx context.Context, polledAddress string, err error) (interrupted bool) {
+// wasInterrupted reports whether a poll ended with err by a change of the address or by Close, which is no failure.
+func (w *Watcher) wasInterrupted(ctx context.Context, polledAddress string, err error) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.address != polledAddress || ctx.Err() != nil || errors.Is(err, errInterrupted)
+}
+
+// forgetConnection has the next poll use another connection, and counts the failure if there was one.
+func (w *Watcher) forgetConnection(failed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.conn = nil
-	interrupted = w.address != polledAddress || ctx.Err() != nil || errors.Is(err, errInterrupted)
-	if !interrupted {
+	if failed {
 		w.stats.FailedPolls++
 	}
-	return interrupted
 }
 
 // waitBeforeRetry delays the next poll by exponential backoff with jitter. The first retry after a success is immediate.
--- a/internal/transport/listen/accept.go
+++ b/internal/transport/listen/accept.go
@@ -25,7 +25,10 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	l.mu.Lock()
 	fd, address, err := l.acceptDescriptor()
-	lasting, logDue := l.faults.record(err, time.Now())
+	now := time.Now()
+	lasting := l.faults.lasts(err)
+	logDue := l.faults.isLogDue(err, now)
+	l.faults.record(err, logDue, now)
 	logger := l.logger
 	l.mu.Unlock()
 	if logDue {
@@ -83,21 +86,24 @@
 	loggedAt time.Time // zero: no failure has been logged
 }
 
-// record records the result of a call. lasting is true if this call and the one before failed. logDue is true if the failure
-// is to be logged, which record then counts as done.
-func (f *acceptFaults) record(err error, now time.Time) (lasting, logDue bool) {
-	if err == nil || errors.Is(err, syscall.EAGAIN) {
-		f.failing = false
-		return false, false
-	}
-	lasting = f.failing
-	f.failing = true
+// isFault reports whether the result of a call is a failure. That no connection waits is none.
+func isFault(err error) bool { return err != nil && !errors.Is(err, syscall.EAGAIN) }
+
+// lasts reports whether a call that ended with err failed after one that had failed too.
+func (f *acceptFaults) lasts(err error) bool { return f.failing && isFault(err) }
+
+// isLogDue reports whether the failure of a call is to be logged.
+func (f *acceptFaults) isLogDue(err error, now time.Time) bool {
 	recentlyLogged := !f.loggedAt.IsZero() && now.Sub(f.loggedAt) < faultLogInterval
-	logDue = (lasting || !isUsualFault(err)) && !recentlyLogged
-	if logDue {
+	return isFault(err) && (f.failing || !isUsualFault(err)) && !recentlyLogged
+}
+
+// record notes the result of a call, and that it was logged.
+func (f *acceptFaults) record(err error, logged bool, now time.Time) {
+	f.failing = isFault(err)
+	if logged {
 		f.loggedAt = now
 	}
-	return lasting, logDue
 }
 
 // isUsualFault reports whether an error of accept4 happens in normal operation: a signal, or a client that left early.
