--- a/internal/soak/address.go
+++ b/internal/soak/address.go
@@ -14,6 +14,8 @@
 	port            = 4100
 	routerNumber    = 250
 	discoveryNumber = 200 // and those after it, for servers that have moved
+	maxRouters      = 254
+	maxWorkers      = discoveryNumber - 1
 )
 
 // addressBlock is loopback addresses that no other run on the machine uses.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -37,6 +37,9 @@
 
 // Run plays a schedule. An error means that the machine did not let it: nothing is said of the routers.
 func Run(s Schedule, options Options) (*Report, error) {
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp("", "topazfront-soak-")
 	if err != nil {
 		return nil, err
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -79,5 +79,25 @@
 		s.Settings.HealthChecksAllowed, strings.Join(faults, " "))
 }
 
+// validate returns an error if a fault has a target that the fleet lacks.
+func (s Schedule) validate() error {
+	for _, fault := range s.Faults {
+		targets := len(s.Faults) + fault.Target + 1 // any
+		switch group, _, _ := strings.Cut(string(fault.Kind), "-"); group {
+		case "worker":
+			targets = s.Workers
+		case "router", "connection":
+			targets = s.Routers
+		}
+		if fault.Target < 0 || fault.Target >= targets {
+			return fmt.Errorf("soak: %v: no such target", fault)
+		}
+	}
+	if s.Routers > maxRouters || s.Workers > maxWorkers {
+		return fmt.Errorf("soak: %d routers and %d workers, at most %d and %d", s.Routers, s.Workers, maxRouters, maxWorkers)
+	}
+	return nil
+}
+
 // concernsDiscovery reports whether routers can't rely on discovery while the fault lasts.
 func (k FaultKind) concernsDiscovery() bool { return strings.HasPrefix(string(k), "discovery-") }
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 )
 
@@ -34,6 +35,42 @@
 	}
 }
 
+// TestFaultsAreParsedAsPrinted checks that a printed schedule can be played again.
+func TestFaultsAreParsedAsPrinted(t *testing.T) {
+	for seed := range uint64(20) {
+		var words []string
+		for _, fault := range Draw(seed).Faults {
+			words = append(words, fault.String())
+		}
+		text := strings.Join(words, " ")
+		faults, err := ParseFaults(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, fault := range faults {
+			if fault.String() != words[i] {
+				t.Errorf("%v, want %s", fault, words[i])
+			}
+		}
+	}
+	for _, text := range []string{"worker-eaten@1s+1s#0", "worker-hung@soon+1s#0", "worker-hung@1s#0", "worker-hung@1s+1s#first"} {
+		if _, err := ParseFaults(text); err == nil {
+			t.Errorf("%q was parsed", text)
+		}
+	}
+}
+
+// TestFaultsWithoutTargetAreNotPlayed checks that a schedule whose faults don't fit its fleet is an error.
+func TestFaultsWithoutTargetAreNotPlayed(t *testing.T) {
+	for _, fault := range []Fault{{Kind: WorkerHung, Target: 16}, {Kind: RouterKilled, Target: 3}, {Kind: ConnectionCrowd, Target: -1}} {
+		s := usualSchedule()
+		s.Faults = []Fault{fault}
+		if _, err := Run(s, Options{NodeCommand: nodeCommand}); err == nil {
+			t.Errorf("%v was played", fault)
+		}
+	}
+}
+
 // isKnown reports whether a run can carry the kind out.
 func (k FaultKind) isKnown() bool { return players[k] != nil }
 
