dispatch: each question for the endpoint list since its confirmation counts, not the first ever

Ruled out: the dating of late answers (empty ones, dated by the wait that was asked for). Change: the questions since the last confirmation are kept, 16 at most, and the earliest after it counts.

--- a/dispatch/leases_test.go
+++ b/dispatch/leases_test.go
@@ -87,6 +87,14 @@
 			h.step(EndpointListAskedAgain{At: h.now})
 			h.step(EndpointListConfirmed{At: h.now})
 		}, time.Second + lossNotifiedAfter + lease},
+		{"asked for again twice, and the first question is answered late", func(h *leaseHarness) {
+			first := h.now
+			h.step(EndpointListAskedAgain{At: first})
+			h.advance(200 * time.Millisecond)
+			h.step(EndpointListAskedAgain{At: h.now})
+			h.advance(200 * time.Millisecond)
+			h.step(EndpointListConfirmed{At: first})
+		}, time.Second + 200*time.Millisecond + lease},
 		{"confirmed for a time to come", func(h *leaseHarness) {
 			h.step(EndpointListConfirmed{At: h.now + time.Hour})
 		}, time.Second + lossNotifiedAfter + lease},
@@ -348,3 +356,20 @@
 		t.Errorf("%v, want one report that the list is current", current)
 	}
 }
+
+// TestQuestionsForListAreBounded checks that an outage without an end costs no memory, and that the first question since the
+// list was confirmed and the newest ones are kept.
+func TestQuestionsForListAreBounded(t *testing.T) {
+	h := newLeaseHarness(t, nil)
+	h.advance(time.Second)
+	first := h.now
+	for range 10 * maxQuestions {
+		h.step(EndpointListAskedAgain{At: h.now})
+		h.advance(100 * time.Millisecond)
+	}
+	newest := h.now - 100*time.Millisecond
+	kept := h.dispatcher.list.askedAgainAt
+	if len(kept) != maxQuestions || kept[0] != first || kept[maxQuestions-1] != newest {
+		t.Errorf("%v, want %d, from %v to %v", kept, maxQuestions, first, newest)
+	}
+}
--- a/dispatch/listfreshness.go
+++ b/dispatch/listfreshness.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file decides how long the endpoint list is believed after it was last confirmed: Dispatcher.list. Where a caller does
 // not report on the list at all, it is always believed.
@@ -11,6 +14,9 @@
 	lossNotifiedAfter = 2 * time.Second
 	// minPause is the shortest time without a Step that counts as a pause of the process.
 	minPause = 150 * time.Millisecond
+	// maxQuestions bounds the questions that are remembered. Answers are no later than some seconds, and questions no more
+	// frequent than their backoff.
+	maxQuestions = 16
 )
 
 // listLeaseEnd is when the lease ends that the endpoint list gives to its active workers. What the list did not show
@@ -22,8 +28,8 @@
 		return forever
 	}
 	notifiedAt := list.confirmedAt + lossNotifiedAfter
-	if list.askedAgainAt > list.confirmedAt {
-		notifiedAt = min(notifiedAt, list.askedAgainAt)
+	if len(list.askedAgainAt) > 0 {
+		notifiedAt = min(notifiedAt, list.askedAgainAt[0])
 	}
 	if list.pausedUntil > list.confirmedAt {
 		notifiedAt = list.confirmedAt
@@ -34,18 +40,22 @@
 // listIsCurrent reports whether the endpoint list is believed.
 func (d *Dispatcher) listIsCurrent() bool { return d.now < d.listLeaseEnd() }
 
-// confirmList notes that the endpoint list was complete at a time.
+// confirmList notes that the endpoint list was complete at a time. The questions until then are answered by that.
 func (d *Dispatcher) confirmList(e EndpointListConfirmed) {
 	d.list.tracked = true
 	d.list.confirmedAt = max(d.list.confirmedAt, min(e.At, d.now))
+	isAnswered := func(askedAt time.Duration) bool { return askedAt <= d.list.confirmedAt }
+	d.list.askedAgainAt = slices.DeleteFunc(d.list.askedAgainAt, isAnswered)
 }
 
-// askListAgain notes that the endpoint list is asked for again. Only the first time since it was confirmed counts: what had
-// changed by then is notified.
+// askListAgain notes that the endpoint list is asked for again. Answers may come late and confirm the list for a time before
+// some of these questions, so the first and the newest ones are kept.
 func (d *Dispatcher) askListAgain(e EndpointListAskedAgain) {
-	if d.list.askedAgainAt <= d.list.confirmedAt {
-		d.list.askedAgainAt = e.At
+	list := &d.list
+	if len(list.askedAgainAt) == maxQuestions {
+		list.askedAgainAt = slices.Delete(list.askedAgainAt, 1, 2)
 	}
+	list.askedAgainAt = append(list.askedAgainAt, e.At)
 }
 
 // detectPause notes when the process did not run for a while. Whatever the list has shown since it was confirmed may then
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -65,11 +65,11 @@
 
 // endpointList is what is known of how current the endpoint list is.
 type endpointList struct {
-	tracked      bool          // the caller reports on it
-	confirmedAt  time.Duration // the list held all changes up to then
-	askedAgainAt time.Duration // when it was first asked for again after a failure since then
-	pausedUntil  time.Duration // when the process last went on after a pause
-	expired      bool          // the list is not believed, as was last reported
+	tracked      bool            // the caller reports on it
+	confirmedAt  time.Duration   // the list held all changes up to then
+	askedAgainAt []time.Duration // when it was asked for again after failures since then, the oldest first
+	pausedUntil  time.Duration   // when the process last went on after a pause
+	expired      bool            // the list is not believed, as was last reported
 }
 
 // seconds converts to a duration.
