--- a/internal/invariants/check_test.go
+++ b/internal/invariants/check_test.go
@@ -260,5 +260,6 @@
 	testRule(t, []ruleCase{
 		{"load commands within the limit", 0, loadCommands(20, 4)},
 		{"one load command beyond the limit", RuleLoadRate, loadCommands(20, 5)},
+		{"over a restart of the router", 0, append(loadCommands(20, 5), Record{At: 402 * ms, Kind: RouterStarted, Router: "r"})},
 	})
 }
--- a/internal/invariants/drains.go
+++ b/internal/invariants/drains.go
@@ -38,7 +38,7 @@
 				continue // a query of the state is allowed
 			}
 			c.checkDrain(r, n, byList, byWorker)
-		case CallSent, FinalAnswer, CallAbandoned, RunStarted, WorkerStarted, WorkerOverloaded, RouterKilled:
+		case CallSent, FinalAnswer, CallAbandoned, RunStarted, WorkerStarted, WorkerOverloaded, RouterKilled, RouterStarted:
 			// no drain begins or ends, and nothing is sent to a worker
 		}
 	}
--- a/internal/invariants/final_answers.go
+++ b/internal/invariants/final_answers.go
@@ -29,7 +29,7 @@
 			killedAt[r.Router] = append(killedAt[r.Router], r.At)
 		case FinalAnswer, CallAbandoned, AttemptReceived:
 			// followed below, when all calls are known
-		case RunStarted, LoadCommandReceived, EndpointNotified, WorkerDraining, WorkerReady, WorkerStarted, WorkerOverloaded:
+		case RunStarted, LoadCommandReceived, EndpointNotified, WorkerDraining, WorkerReady, WorkerStarted, WorkerOverloaded, RouterStarted:
 			// not part of a call's answer
 		}
 	}
@@ -70,7 +70,7 @@
 		c.checkRemaining(call, r)
 	case CallSent, RouterKilled:
 		// taken up before, by checkFinalAnswers
-	case RunStarted, LoadCommandReceived, EndpointNotified, WorkerDraining, WorkerReady, WorkerStarted, WorkerOverloaded:
+	case RunStarted, LoadCommandReceived, EndpointNotified, WorkerDraining, WorkerReady, WorkerStarted, WorkerOverloaded, RouterStarted:
 		// not part of a call's answer
 	}
 }
--- a/internal/invariants/record.go
+++ b/internal/invariants/record.go
@@ -22,6 +22,7 @@
 	WorkerStarted                         // a worker's process started
 	WorkerOverloaded                      // a worker failed under load while it warmed up
 	RouterKilled                          // a router was killed; its clients have to repeat the calls that it held
+	RouterStarted                         // a router's process started anew, and with it its load rate limit
 )
 
 // Answer is a final answer as a client sees it.
--- a/internal/invariants/slow_start.go
+++ b/internal/invariants/slow_start.go
@@ -47,7 +47,7 @@
 			start.arrivals = append(start.arrivals, arrival{r.At, c.settings.Classes[r.Class].MeanWork.Seconds()})
 			c.checkWindow(r, start, largestCall*float64(len(routers)))
 		case FinalAnswer, CallAbandoned, RunStarted, LoadCommandReceived, EndpointNotified, WorkerDraining, WorkerReady,
-			RouterKilled:
+			RouterKilled, RouterStarted:
 			// no worker starts, and no work arrives at one
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -219,6 +219,7 @@
 // restartRouter starts a router anew and lets clients call it. It gets the list as it is now.
 func (r *run) restartRouter(n *node, c *client) error {
 	c.closeIdle()
+	r.platform.records.Add(invariants.Record{Kind: invariants.RouterStarted, Router: routerName(n.router)})
 	if err := n.start(); err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -155,7 +155,7 @@
 	case invariants.CallSent, invariants.FinalAnswer, invariants.CallAbandoned, invariants.AttemptReceived, invariants.RunStarted:
 		return true
 	case invariants.LoadCommandReceived, invariants.EndpointNotified, invariants.WorkerDraining, invariants.WorkerReady,
-		invariants.WorkerStarted, invariants.WorkerOverloaded, invariants.RouterKilled:
+		invariants.WorkerStarted, invariants.WorkerOverloaded, invariants.RouterKilled, invariants.RouterStarted:
 		return false
 	}
 	return false
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -19,6 +19,7 @@
 	invariants.EndpointNotified:    "router counts as notified:",
 	invariants.WorkerStarted:       "worker starts",
 	invariants.RouterKilled:        "router is killed",
+	invariants.RouterStarted:       "router starts",
 }
 
 // timeline returns one list of what happened around a violation: the faults of the run, the whole story of the call that
