--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -153,6 +153,13 @@
 	}
 }
 
+// Describe returns the address that is polled and the revision of the list, as attributes of a log line.
+func (w *Watcher) Describe() []any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return []any{"address", w.address, "revision", w.stats.Revision}
+}
+
 // Stats returns the current statistics.
 func (w *Watcher) Stats() Stats {
 	w.mu.Lock()
--- a/internal/httprouter/server.go
+++ b/internal/httprouter/server.go
@@ -133,6 +133,9 @@
 		OnAskedAgain:     s.router.EndpointListAskedAgain,
 		Logger:           s.logger,
 	}, s.cfg.InitialEndpoints)
+	if err == nil {
+		s.router.DescribeEndpointList(s.watcher.Describe)
+	}
 	s.cfg.InitialEndpoints = discovery.PollResponse{} // frees the memory of a long list, which the router has in its own form
 	return err
 }
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -36,12 +36,21 @@
 // endpointListStateChanged logs whether the endpoint list is believed.
 func (r *Router) endpointListStateChanged(action dispatch.EndpointListStateChanged) {
 	r.stats.ListExpired = !action.Current
+	attributes := []any{"age_ms", action.Age.Milliseconds()}
+	if r.describeList != nil {
+		attributes = append(attributes, r.describeList()...)
+	}
 	if action.Current {
-		r.cfg.Logger.Info("endpoint list current again", "age_ms", action.Age.Milliseconds())
+		r.cfg.Logger.Info("endpoint list current again", attributes...)
 		return
 	}
-	r.cfg.Logger.Warn("endpoint list out of date, workers are checked before anything new is sent to them",
-		"age_ms", action.Age.Milliseconds())
+	r.cfg.Logger.Warn("endpoint list out of date, workers are checked before anything new is sent to them", attributes...)
+}
+
+// DescribeEndpointList sets what log lines about the endpoint list have in addition, as alternating keys and values. The loop
+// calls the function, which must not block.
+func (r *Router) DescribeEndpointList(describe func() []any) {
+	r.post(func() { r.describeList = describe })
 }
 
 // WorkerDraining records a worker's own report that it drains.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,6 +70,7 @@
 	lastCallID      dispatch.RequestID
 	functions       calledFunctions
 	endpoints       *endpoints.Merger
+	describeList    func() []any  // attributes of the endpoint list for log lines; nil: none
 	listConfirmedAt time.Duration // the endpoint list held all changes up to then; 0: not reported
 	stats           Stats
 
