--- a/dispatch/attemptrules.go
+++ b/dispatch/attemptrules.go
@@ -47,9 +47,9 @@
 	return false
 }
 
-// attemptObstacle returns what keeps a request from a further attempt, CauseNone if nothing does: it has had its attempts, it
-// can't be served before its deadline, the retry budget is used up, or an earlier attempt may have run and no worker may
-// repeat it.
+// attemptObstacle returns what keeps a request from a further attempt, CauseNone if nothing does: it has
+// had its attempts, it can't be served before its deadline, the retry budget is used up, or an earlier
+// attempt may have run and no worker may repeat it.
 func (d *Dispatcher) attemptObstacle(r *request) EndCause {
 	switch {
 	case r.streaming != nil || len(r.attempts) >= d.settings.MaxAttempts:
--- a/dispatch/leasechecks.go
+++ b/dispatch/leasechecks.go
@@ -8,22 +8,21 @@
 // This file has workers without a lease checked for the requests that could go there: workerLease.awaiting.
 
 const (
-	// checkInterval is the time between health checks of a worker for its lease, if the first was not answered.
+	// checkInterval is the time between health checks of a worker for its lease, if the first was not
+	// answered.
 	checkInterval = 100 * time.Millisecond
-	// patienceDivisor: a request waits for this part of its remaining time for one worker's health check, then another is
-	// checked.
+	// patienceDivisor: a request waits for this part of its remaining time for one worker's health check,
+	// then another is checked.
 	patienceDivisor = 4
 )
 
-// mayCheckLease reports whether a health check may renew the lease of a worker for a request now, or one is under way that
-// is not overdue for the request. Workers that are unlikely to serve the request are not checked for it.
+// mayCheckLease reports whether a health check may renew the lease of a worker for a request now, or one is
+// under way that is not overdue for the request. Workers that are unlikely to serve the request are not
+// checked for it.
 func (d *Dispatcher) mayCheckLease(r *request, w *worker) bool {
-	if !d.settings.HealthChecksAllowed || r.inFlight > 0 || r.failedOn(w) {
-		return false
-	}
-	d.updateSuspicion(w)
 	silent := w.suspected && !d.majoritySuspected()
-	if silent || d.now < w.ejections[r.class].until {
+	unlikelyToServe := silent || r.failedOn(w) || d.now < w.ejections[r.class].until
+	if !d.settings.HealthChecksAllowed || r.inFlight > 0 || unlikelyToServe {
 		return false
 	}
 	waited := d.now - w.lease.checkedAt
@@ -42,8 +41,8 @@
 	return min(pendingBackoff, (r.deadline-r.acceptedAt)/patienceDivisor)
 }
 
-// awaitLease has a request wait until a health check has renewed the lease of a worker. One check serves all requests that
-// wait for it.
+// awaitLease has a request wait until a health check has renewed the lease of a worker. One check serves
+// all requests that wait for it.
 func (d *Dispatcher) awaitLease(r *request, w *worker) {
 	if !w.lease.checkInFlight {
 		w.lease.checkInFlight = true
@@ -54,8 +53,8 @@
 	d.setRequestTimer(r, d.now+d.leasePatience(r))
 }
 
-// leaseChecked takes the result of a health check of a worker and lets go the requests that waited for it. A check counts
-// from when it was sent.
+// leaseChecked takes the result of a health check of a worker and lets go the requests that waited for it.
+// A check counts from when it was sent.
 func (d *Dispatcher) leaseChecked(w *worker, e HealthChecked) {
 	d.pending = append(d.pending, w.lease.awaiting...)
 	w.lease.awaiting = nil
@@ -68,22 +67,22 @@
 		d.renewLease(w, d.now-e.Duration)
 	case e.Result == ConnectFailed || e.Result == ConnectionReset:
 		d.loseContact(w)
-		d.suspectUnlessListed(w)
+		d.suspectWithoutList(w)
 	case e.Result == TimedOut:
-		d.suspectUnlessListed(w)
+		d.suspectWithoutList(w)
 	}
 }
 
-// suspectUnlessListed suspects a worker that did not answer a health check, unless the endpoint list is believed: then
-// the ends of its attempts tell.
-func (d *Dispatcher) suspectUnlessListed(w *worker) {
+// suspectWithoutList suspects a worker that did not answer a health check, unless the endpoint list is
+// believed: then the ends of its attempts tell.
+func (d *Dispatcher) suspectWithoutList(w *worker) {
 	if !d.listIsCurrent() {
 		d.suspect(w)
 	}
 }
 
-// isUnservable reports whether nothing can be sent to any worker until the endpoint list is back: it is not believed, no
-// worker holds a lease, and health checks are not allowed.
+// isUnservable reports whether nothing can be sent to any worker until the endpoint list is back: it is not
+// believed, no worker holds a lease, and health checks are not allowed.
 func (d *Dispatcher) isUnservable() bool {
 	if d.settings.HealthChecksAllowed || d.listIsCurrent() {
 		return false
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -1,27 +1,24 @@
 package dispatch
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // This file decides which workers may get something new: worker.lease.
 //
-// A worker may get an attempt or a load command only while it holds a lease. The endpoint list gives a lease to all of its
-// active workers, for as long as a drain that it does not show yet can't have been notified for longer than the drain
-// grace. Beyond that, a worker holds a lease for the drain grace after the newest moment at which it is known not to have
-// drained: that of an attempt which it served, or of a health check that it answered as ready.
+// A worker may get an attempt or a load command only while it holds a lease. The endpoint list gives a
+// lease to all of its active workers, for as long as a drain that it does not show yet can't have been
+// notified for longer than the drain grace. Beyond that, a worker holds a lease for the drain grace after
+// the newest moment at which it is known not to have drained: that of an attempt which it served, or of a
+// health check that it answered as ready.
 
 const (
-	// minDrainGrace and leaseMargin: a lease ends so much before the drain grace does, which leaves time for the send, and
-	// where the settings give hardly any grace there is a lease nevertheless, within the 50 ms of allowance that the
-	// platform has for each time limit.
+	// minDrainGrace and leaseMargin: a lease ends so much before the drain grace does, which leaves time
+	// for the send, and where the settings give hardly any grace there is a lease nevertheless, within the
+	// 50 ms of allowance that the platform has for each time limit.
 	minDrainGrace = 50 * time.Millisecond
 	leaseMargin   = 25 * time.Millisecond
-	// minSendWindow is the least time that a send has for its first byte while the endpoint list is believed: a connection
-	// may have to be made first.
+	// minSendWindow is the least time that a send has for its first byte while the endpoint list is
+	// believed: a connection may have to be made first.
 	minSendWindow = 200 * time.Millisecond
-	forever       = time.Duration(math.MaxInt64)
 )
 
 // leaseDuration is how long a worker may get something new after it was known not to drain.
@@ -41,8 +38,9 @@
 // holdsLease reports whether a worker may get something new now.
 func (d *Dispatcher) holdsLease(w *worker) bool { return d.now < d.leaseEnd(w) }
 
-// sendBefore is the time before which the first byte of what is sent to a worker now has to be written; 0: there is none.
-// A send that is delayed beyond the drain grace is decided anew: the list may have changed meanwhile.
+// sendBefore is the time before which the first byte of what is sent to a worker now has to be written; 0:
+// there is none. A send that is delayed beyond the drain grace is decided anew: the list may have changed
+// meanwhile.
 func (d *Dispatcher) sendBefore(w *worker) time.Duration {
 	if !d.list.tracked {
 		return 0
@@ -56,8 +54,8 @@
 	d.noteRestart(w)
 }
 
-// endLease has a worker checked before it gets anything new, unless the endpoint list is believed. It is called when the
-// worker rejects something, which may mean that it drains.
+// endLease has a worker checked before it gets anything new, unless the endpoint list is believed. It is
+// called when the worker rejects something, which may mean that it drains.
 func (d *Dispatcher) endLease(w *worker) {
 	if !d.listIsCurrent() {
 		w.lease.activeAt = 0
@@ -69,9 +67,10 @@
 	w.lease.lostContactAt = d.now
 }
 
-// noteRestart has a worker go through slow start if the router lost contact with it, it is back, and the endpoint list
-// can't tell whether it was restarted meanwhile. The list corrects the start when it changes. False positives: a worker
-// that only lost its connections, or ended a drain without a restart, gets less for a while.
+// noteRestart has a worker go through slow start if the router lost contact with it, it is back, and the
+// endpoint list can't tell whether it was restarted meanwhile. The list corrects the start when it changes.
+// False positives: a worker that only lost its connections, or ended a drain without a restart, gets less
+// for a while.
 func (d *Dispatcher) noteRestart(w *worker) {
 	isBack := w.lease.activeAt > w.lease.lostContactAt
 	lostSinceConfirmed := w.lease.lostContactAt > d.list.confirmedAt
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -41,8 +41,8 @@
 
 // commandLoad sends a load command, unless one is in flight, and reports whether a load is in progress. It
 // keeps to the backoff after a failed load, to the bound of commands in flight and to the given fraction of
-// the rate limit, and sends none to a worker that is not active or holds no lease. There is no other way to send a load
-// command.
+// the rate limit, and sends none to a worker that is not active or holds no lease. There is no other way to
+// send a load command.
 func (d *Dispatcher) commandLoad(f *function, w *worker, limitFraction float64, cause LoadCause) bool {
 	if f.placementOn(w).loadCommandedAt > 0 {
 		return true
--- a/dispatch/selection.go
+++ b/dispatch/selection.go
@@ -30,9 +30,9 @@
 	unleasedResident  bool    // that one holds the function
 }
 
-// selectWorker chooses where a request goes; nil: nowhere for now. A worker without a lease has to be checked first. Where the preferred worker does not hold
-// the function and another does, the first is sent a load command and the second serves: no request waits for
-// a load because an assignment moved or grew.
+// selectWorker chooses where a request goes; nil: nowhere for now. A worker without a lease has to be
+// checked first. Where the preferred worker does not hold the function and another does, the first is sent
+// a load command and the second serves: no request waits for a load because an assignment moved or grew.
 func (d *Dispatcher) selectWorker(r *request) *worker {
 	d.selections++
 	s := selection{request: r, majoritySuspected: d.majoritySuspected()}
@@ -57,9 +57,10 @@
 	return d.selectWithoutResident(&s)
 }
 
-// evaluateUnleased notes a worker that holds no lease, if it is worth a health check: it holds the function, or nothing
-// better came before it in the order of choice.
+// evaluateUnleased notes a worker that holds no lease, if it is worth a health check: it holds the
+// function, or nothing better came before it in the order of choice.
 func (d *Dispatcher) evaluateUnleased(s *selection, w *worker) {
+	d.updateSuspicion(w)
 	resident := d.now < s.request.function.placementOn(w).residentUntil
 	isFirst := s.unleased == nil && s.preferred == nil && s.fallback == nil
 	isFirstResident := resident && !s.unleasedResident
