discovery: after a loss the last event is asked for again, as a restarted server may number alike

Ruled out: leases (list current again, age 0). Change: 2 s after the last confirmation the first question asks from the event before the last one; another event at its number, or none, has the complete list read. TestSnapshotReplacesList held that an event with a number that was applied is skipped without an error; such an event with other content is now named ErrRevisionRegressed, and still changes nothing.

--- a/internal/discovery/eventlog.go
+++ b/internal/discovery/eventlog.go
@@ -1,10 +1,13 @@
 package discovery
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/topazfront/topazfront/dispatch"
 	"github.com/topazfront/topazfront/internal/endpoints"
 	"github.com/topazfront/topazfront/internal/wallclock"
@@ -13,17 +16,30 @@
 // ErrEventGap reports that events between the last one applied and those of a response are missing.
 var ErrEventGap = errors.New("discovery: events are missing")
 
-// ErrRevisionRegressed reports that the server's revision is lower than that of the last event applied: it was restarted, and
-// numbers its events anew.
-var ErrRevisionRegressed = errors.New("discovery: revision is lower than before")
+// ErrRevisionRegressed reports that the server's revision is lower than that of the last event applied, or that it has another
+// event there: it was restarted, and numbers its events anew.
+var ErrRevisionRegressed = errors.New("discovery: events are numbered anew")
 
 // startTimeConverter converts the start time of an endpoint to the router's clock.
 type startTimeConverter func(id string, startedAt wallclock.Time) time.Duration
 
 // eventLog follows the numbered events up to the last one applied. It is not safe for concurrent use.
 type eventLog struct {
-	revision    int64 // of the last event applied
-	initialized bool  // an event was applied; before that, the first event may have any revision
+	revision    int64       // of the last event applied
+	initialized bool        // an event was applied; before that, the first event may have any revision
+	last        eventDigest // of the event at revision
+}
+
+// eventDigest tells events of one revision apart, as a server that was restarted numbers other events alike.
+type eventDigest struct {
+	known bool
+	hash  uint64
+}
+
+// digestOf returns the digest of an event.
+func digestOf(event Event) eventDigest {
+	raw, err := json.Marshal(event.Update)
+	return eventDigest{known: err == nil, hash: xxhash.Sum64(raw)}
 }
 
 // Apply advances the log over the events of a response and returns their combined update. On an error nothing is applied.
@@ -32,6 +48,9 @@
 // start time of an endpoint to the router's clock.
 func (l *eventLog) Apply(response PollResponse, routerTime startTimeConverter) (*endpoints.Update, error) {
 	next, err := l.revisionAfter(response.Events)
+	if err == nil {
+		err = l.checkLastEvent(response.Events)
+	}
 	if err != nil || next == l.revision {
 		return nil, err
 	}
@@ -49,9 +68,20 @@
 	}
 	l.revision = next
 	l.initialized = true
+	l.last = digestOf(response.Events[len(response.Events)-1])
 	return merged.update(routerTime), nil
 }
 
+// checkLastEvent returns ErrRevisionRegressed if the events have another one at the log's revision than was applied.
+func (l *eventLog) checkLastEvent(events []Event) error {
+	for _, event := range events {
+		if *event.Revision == l.revision && l.last.known && digestOf(event) != l.last {
+			return fmt.Errorf("%w: event %d is another one now", ErrRevisionRegressed, l.revision)
+		}
+	}
+	return nil
+}
+
 // revisionAfter returns the revision that the log has once the events are applied. It changes nothing.
 func (l *eventLog) revisionAfter(events []Event) (int64, error) {
 	next := l.revision
--- a/internal/discovery/eventlog_test.go
+++ b/internal/discovery/eventlog_test.go
@@ -41,7 +41,8 @@
 }
 
 // TestSnapshotReplacesList checks that a snapshot is applied with the next revision and across a gap, that endpoints
-// missing from it are removed, and that one with a revision that was applied changes nothing. An endpoint that was
+// missing from it are removed, and that one with a revision at which another event was applied changes nothing and is named as
+// the sign of a restarted server. An endpoint that was
 // draining may be listed as active again.
 func TestSnapshotReplacesList(t *testing.T) {
 	const (
@@ -51,16 +52,17 @@
 	for name, c := range map[string]struct {
 		revision int
 		want     string
+		err      error
 	}{
-		"the next revision": {4, after},
-		"across a gap":      {9, after},
-		"an old revision":   {3, before},
+		"the next revision": {4, after, nil},
+		"across a gap":      {9, after, nil},
+		"an old revision":   {3, before, ErrRevisionRegressed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			log, list := &eventLog{}, endpointList{}
-			apply := func(raw string) {
+			apply := func(raw string, wantErr error) {
 				update, err := log.Apply(parseResponse(t, raw), constantRouterTime)
-				if err != nil {
+				if !errors.Is(err, wantErr) {
 					t.Fatal(err)
 				}
 				list.apply(update)
@@ -68,14 +70,14 @@
 			for i, event := range []string{fakeplatform.EndpointsEvent(true, "a 1.1.1.1:1 active", "b 1.1.1.2:1 active"),
 				fakeplatform.EndpointsEvent(false, "a 1.1.1.1:1 leaving"), fakeplatform.EndpointsEvent(false, "c 1.1.1.3:1 active")} {
 				response := fmt.Sprintf(`{"cursor":%d,"cmds":[{"cursor":%d,%s}]}`, i+1, i+1, event)
-				apply(response)
+				apply(response, nil)
 			}
 			if got := list.String(); got != before {
 				t.Fatal(got)
 			}
 			snapshot := fakeplatform.EndpointsEvent(true, "a 1.1.1.1:1 active", "c 1.1.1.3:1 leaving")
 			response := fmt.Sprintf(`{"cursor":%d,"cmds":[{"cursor":%d,%s}]}`, c.revision, c.revision, snapshot)
-			apply(response)
+			apply(response, c.err)
 			if got := list.String(); got != c.want || log.revision != int64(c.revision) {
 				t.Errorf("%s, revision %d; want %s", got, log.revision, c.want)
 			}
--- a/internal/discovery/freshness_test.go
+++ b/internal/discovery/freshness_test.go
@@ -191,3 +191,30 @@
 		t.Errorf("confirmed %v, asked again %v", confirmed, askedAgain)
 	}
 }
+
+// TestServerRestartedAtTheSameRevisionIsNoticed has the server out of reach for longer than verifyAfter and restarted with
+// another list under the same number. The watcher notices that the last event is another one and reads the list anew.
+func TestServerRestartedAtTheSameRevisionIsNoticed(t *testing.T) {
+	t.Parallel()
+	server := platformtest.StartDiscovery(t, initialEndpoints)
+	address := server.Addr()
+	lists := make(chan string, 64)
+	list := endpointList{}
+	cfg := watcherConfig(address, func(update endpoints.Update) {
+		list.apply(&update)
+		lists <- list.String()
+	})
+	cfg.RouterClock = steppingClock{startedAt: time.Now()}
+	startWatcherWith(t, cfg, server.AllEvents())
+	testsupport.Await(t, lists, "the initial list")
+	server.Suspend()
+	time.Sleep(verifyAfter + testPollWait)
+	restarted, err := fakeplatform.StartDiscoveryServerAt(address, fakeplatform.EndpointsEvent(true, "a 1.1.1.1:1 leaving", "b 1.1.1.2:1 active"))
+	if err != nil {
+		t.Skip("the address was taken by another process:", err)
+	}
+	t.Cleanup(restarted.Stop)
+	if got := testsupport.Await(t, lists, "the list of the restarted server"); got != "a@1.1.1.1:1 drains, b@1.1.1.2:1" {
+		t.Errorf("list %s", got)
+	}
+}
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -45,7 +45,7 @@
 	if message.Close {
 		conn.close(errClosedAfterResponse)
 	}
-	if w.log.revision == before && time.Since(asked.at) < asked.wait/minWaitDivisor {
+	if asked.verify == 0 && w.log.revision == before && time.Since(asked.at) < asked.wait/minWaitDivisor {
 		return errPrematureResponse
 	}
 	return nil
@@ -58,6 +58,7 @@
 	revision   int64         // events after it are asked for; 0: the complete list
 	wait       time.Duration // how long the server may hold the poll
 	complete   bool          // the response has to begin with a snapshot
+	verify     int64         // the response has to begin with this event, which was applied before, or a snapshot; 0: with none
 }
 
 // newQuestion returns what the next poll asks for.
@@ -66,13 +67,37 @@
 	if w.askAgain {
 		asked.wait = min(asked.wait, firstWaitAfterFailure)
 	}
-	if w.resynchronize {
+	lost := asked.routerTime-w.confirmedAt > verifyAfter
+	switch {
+	case w.resynchronize:
 		asked.revision = 0
 		asked.complete = true
+	case w.askAgain && lost && w.log.last.known:
+		asked.verify = w.log.revision
+		asked.revision = w.log.revision - 1
 	}
 	return asked
 }
 
+// check returns an error if a response does not begin as the question demands.
+func (q question) check(response PollResponse) error {
+	if *response.Revision < q.revision {
+		return fmt.Errorf("%w: %d follows %d", ErrRevisionRegressed, *response.Revision, q.revision)
+	}
+	if q.verify == 0 {
+		return nil
+	}
+	if len(response.Events) == 0 {
+		return fmt.Errorf("%w: there is no event %d", ErrRevisionRegressed, q.verify)
+	}
+	first := response.Events[0]
+	isSnapshot := first.Update != nil && first.Update.Snapshot
+	if *first.Revision != q.verify && !isSnapshot {
+		return fmt.Errorf("%w: event %d follows %d", ErrRevisionRegressed, *first.Revision, q.revision)
+	}
+	return nil
+}
+
 // currentAt returns when the list was current by a response that was read now, on the router's clock. One without events was
 // written when the poll's wait was over. One with events may have been written at any time since the poll was sent: the
 // process may have been stopped meanwhile.
@@ -119,8 +144,8 @@
 	if err != nil {
 		return err
 	}
-	if *response.Revision < asked.revision {
-		return fmt.Errorf("%w: %d follows %d", ErrRevisionRegressed, *response.Revision, asked.revision)
+	if err := asked.check(response); err != nil {
+		return err
 	}
 	log := w.log
 	if asked.complete {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -41,6 +41,10 @@
 // list counts as out of date until the response.
 const firstWaitAfterFailure = 100 * time.Millisecond
 
+// verifyAfter is the time without a confirmation after which the last event is asked for again: the server may have been
+// restarted meanwhile, and number other events as it did these. It is that after which the list counts as lost.
+const verifyAfter = 2 * time.Second
+
 // errInterrupted ends a poll whose server's address has changed or whose Watcher is closed. It is not a failure.
 var errInterrupted = errors.New("discovery: address changed or watcher closed")
 
@@ -54,8 +58,9 @@
 	log           *eventLog
 	starts        *endpoints.StartTimes
 	late          *latePolls
-	askAgain      bool // there was no poll yet, or the last one failed or was interrupted
-	resynchronize bool // the next poll asks for the complete list: the server's events don't continue the log
+	confirmedAt   time.Duration // the list was complete then, on the router's clock
+	askAgain      bool          // there was no poll yet, or the last one failed or was interrupted
+	resynchronize bool          // the next poll asks for the complete list: the server's events don't continue the log
 
 	mu      sync.Mutex
 	address string
@@ -113,7 +118,10 @@
 		update = &endpoints.Update{}
 	}
 	update.Snapshot = true // there was nothing before it
-	w.log.revision = max(w.log.revision, *initial.Revision)
+	if *initial.Revision > w.log.revision {
+		w.log.revision = *initial.Revision
+		w.log.last = eventDigest{}
+	}
 	w.publish(update)
 	now := w.cfg.RouterClock.Clock()
 	w.confirm(now)
@@ -132,6 +140,7 @@
 // confirm records and reports that the list holds all changes up to a time on the router's clock.
 func (w *Watcher) confirm(at time.Duration) {
 	w.starts.ListCurrent(at)
+	w.confirmedAt = max(w.confirmedAt, at)
 	if w.cfg.OnConfirmed != nil {
 		w.cfg.OnConfirmed(at)
 	}
