respupstream: a test that connections which the worker ends are reported; terms in older tests

Need: each mend has its test; withdrawn terms (told) in tests and comments that were touched. No product code but comments.

--- a/dispatch/slowstart_test.go
+++ b/dispatch/slowstart_test.go
@@ -32,7 +32,7 @@
 	routers         int
 	seeds           float64
 	killed          float64       // fraction of the routers that are killed and started anew in the middle
-	announcedWithin time.Duration // of the start, at most, until a router is told of it
+	announcedWithin time.Duration // of the start, at most, until a router is notified of it
 	uneven          float64       // the first router's rate as a multiple of the others'
 	crashed         bool          // the worker served before, and starts again under its id
 }
@@ -63,7 +63,7 @@
 
 // A worker starts while 1 to 900 routers serve. They learn of it at different times, attempts fail and are retried by
 // router and client, and most routers are killed and start anew in the middle. In no span of the overload window may
-// the worker get more than N + 2 root N + 2 attempts (N under 30: N + 3 root N + 3) from the routers that were told, N
+// the worker get more than N + 2 root N + 2 attempts (N under 30: N + 3 root N + 3) from the routers that were notified, N
 // being what the settings allow it at the beginning of the span.
 func TestSlowStartBoundsAttemptsOfAllRouters(t *testing.T) {
 	for _, fleet := range slowStartFleets() {
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -20,7 +20,7 @@
 	rejected    bool // Apply rejected lastContent
 }
 
-// FileHandler is told of a file that is followed.
+// FileHandler is notified of a file that is followed.
 type FileHandler struct {
 	Apply   func(raw []byte) error // takes the content, now and after each change
 	Reject  func(error)            // takes the error where the file can't be read or Apply fails
--- a/internal/config/workers.go
+++ b/internal/config/workers.go
@@ -82,7 +82,7 @@
 // WriteWorkers replaces a worker list atomically: a reader sees the old list or the new one, never a part.
 func WriteWorkers(path string, list WorkerList) error { return WriteJSON(path, list) }
 
-// WorkerListHandler is told of a worker list that is followed.
+// WorkerListHandler is notified of a worker list that is followed.
 type WorkerListHandler struct {
 	Apply   func(*WorkerList)      // takes the list, now and after each change
 	Reject  func(error)            // takes the error where the file can't be read or has problems; the list applied before stays in force
--- a/internal/httprouter/idle_conns_test.go
+++ b/internal/httprouter/idle_conns_test.go
@@ -20,7 +20,7 @@
 // isAttempt reports whether a message to a worker is an attempt of a call.
 func isAttempt(r fakeplatform.Request) bool { return r.Command == "exec" }
 
-// connFaultDeadline is the deadline of calls under a fault: long for those that a router is told of, short for one that
+// connFaultDeadline is the deadline of calls under a fault: long for those that a router is notified of, short for one that
 // only time tells.
 func connFaultDeadline(fault fakeplatform.ConnFault) time.Duration {
 	if fault == fakeplatform.ForgetConn {
@@ -62,7 +62,7 @@
 }
 
 // requireAnswersThroughFaults makes calls after each of several faults. Each gets its answer in time; half of them are
-// served where the router is told of the fault; and all of a round are once the faults are over.
+// served where the router is notified of the fault; and all of a round are once the faults are over.
 func (h *harness) requireAnswersThroughFaults(fault fakeplatform.ConnFault, causeFault func()) {
 	h.t.Helper()
 	const (
@@ -110,7 +110,7 @@
 }
 
 // TestTroubleAfterQuietTime has nothing come for five minutes, by the dispatcher's clock, and then all idle connections
-// fail in one of the ways, of which the router was told nothing.
+// fail in one of the ways, of which the router was not notified.
 func TestTroubleAfterQuietTime(t *testing.T) {
 	t.Parallel()
 	for name, fault := range connFaults {
--- a/internal/httprouter/wallclock_test.go
+++ b/internal/httprouter/wallclock_test.go
@@ -11,7 +11,7 @@
 	"github.com/topazfront/topazfront/internal/testsupport/platformtest"
 )
 
-// workerStart is what the dispatcher is told of a worker's start.
+// workerStart is what the dispatcher is notified of a worker's start.
 type workerStart struct {
 	worker    string
 	startedAt time.Duration
@@ -20,8 +20,8 @@
 
 // startRecorder is a dispatcher that passes on the starts of the workers in each endpoint list, once each.
 type startRecorder struct {
-	starts chan workerStart
-	told   map[string]time.Duration
+	starts   chan workerStart
+	notified map[string]time.Duration
 }
 
 func (r *startRecorder) Step(now time.Duration, events []dispatch.Event) []dispatch.Action {
@@ -31,8 +31,8 @@
 			continue
 		}
 		for _, e := range update.Endpoints {
-			if startedAt, ok := r.told[e.ID]; !ok || startedAt != e.StartedAt {
-				r.told[e.ID] = e.StartedAt
+			if startedAt, ok := r.notified[e.ID]; !ok || startedAt != e.StartedAt {
+				r.notified[e.ID] = e.StartedAt
 				r.starts <- workerStart{worker: e.ID, startedAt: e.StartedAt, toldAt: now}
 			}
 		}
@@ -60,7 +60,7 @@
 				if beforeStart {
 					clock.Step(step)
 				}
-				recorder := &startRecorder{starts: make(chan workerStart, 8), told: map[string]time.Duration{}}
+				recorder := &startRecorder{starts: make(chan workerStart, 8), notified: map[string]time.Duration{}}
 				beforeServer := time.Now()
 				server, err := Start(cfg, Options{WallClock: &clock, NewDispatcher: fixedDispatcher(recorder)})
 				if err != nil {
--- a/internal/upstream/respupstream/conn_test.go
+++ b/internal/upstream/respupstream/conn_test.go
@@ -91,3 +91,37 @@
 		})
 	}
 }
+
+// TestLostConnectionIsReported has an idle connection end: by the worker, which is reported, and by the pool's own sweep, which
+// is not.
+func TestLostConnectionIsReported(t *testing.T) {
+	for name, test := range map[string]struct {
+		idleTimeout time.Duration
+		end         func(w *fakeplatform.Worker)
+		reported    bool
+	}{
+		"reset by the worker":  {0, func(w *fakeplatform.Worker) { w.FailConns(fakeplatform.ResetConn) }, true},
+		"closed by the worker": {0, func(w *fakeplatform.Worker) { w.FailConns(fakeplatform.CloseConn) }, true},
+		"idle for too long":    {50 * time.Millisecond, func(*fakeplatform.Worker) {}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := &fakeplatform.Worker{ID: "w"}
+			h := newHarness(t, func(c *Config) { c.IdleTimeout = test.idleTimeout }, &scriptedDispatcher{attemptWorkers: []string{"w"}}, w)
+			testsupport.Await(t, h.submit(15*time.Second), "the answer")
+			testsupport.Await(t, h.dispatcher.outcomes, "its outcome")
+			test.end(w)
+			h.waitForStats("the connection is still open", func(s Stats) bool { return s.Conns == 0 })
+			if test.reported {
+				if lost := testsupport.Await(t, h.dispatcher.lost, "the report"); lost.Worker != "w" {
+					t.Errorf("%+v", lost)
+				}
+				return
+			}
+			h.waitForEndpoints() // the loop has run what was posted before
+			if len(h.dispatcher.lost) > 0 {
+				t.Error("a connection that the pool closed was reported")
+			}
+		})
+	}
+}
--- a/internal/upstream/respupstream/harness_test.go
+++ b/internal/upstream/respupstream/harness_test.go
@@ -26,6 +26,7 @@
 	outcomes       chan dispatch.AttemptEnded
 	loaded         chan dispatch.FunctionLoaded
 	checked        chan dispatch.HealthChecked
+	lost           chan dispatch.ConnectionLost
 	loadWorker     string        // receives a load command with each request; "": none
 	checkWorker    string        // receives a health check with each request; "": none
 	delay          time.Duration // of each step
@@ -62,6 +63,8 @@
 			s.loaded <- e
 		case dispatch.HealthChecked:
 			s.checked <- e
+		case dispatch.ConnectionLost:
+			s.lost <- e
 		}
 	}
 	return out
@@ -93,6 +96,7 @@
 	dispatcher.outcomes = make(chan dispatch.AttemptEnded, 64)
 	dispatcher.loaded = make(chan dispatch.FunctionLoaded, 64)
 	dispatcher.checked = make(chan dispatch.HealthChecked, 64)
+	dispatcher.lost = make(chan dispatch.ConnectionLost, 64)
 	dispatcher.attempts = map[dispatch.RequestID]int{}
 	config := Config{ConnectTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, StallTimeout: 10 * time.Second, MaxConns: 8,
 		MaxRequestsPerConn: 32, MaxResponseBytes: 1 << 12, ReceiveBuffer: 32 << 10}
