dispatch: without a drain grace in the settings the endpoint list is always believed

Settings without a drain grace gave leases of 25 ms, and the first answer of discovery came later; without health checks in the settings nothing could be sent. It had passed on an idle machine, as the calls came within the 25 ms. Ruled out: discovery (the harness's answers polls), the race detector alone. Change: a duration of zero means that its rule does not apply, as settings.go says: the list is then not tracked.

--- a/dispatch/listfreshness.go
+++ b/dispatch/listfreshness.go
@@ -45,9 +45,10 @@
 func (d *Dispatcher) listIsCurrent() bool { return d.now < d.listLeaseEnd() }
 
 // confirmList notes that the endpoint list was complete at a time. The questions until then are answered by
-// that.
+// that. Where the settings give no drain grace there is no rule on drains to keep, and the list is always
+// believed.
 func (d *Dispatcher) confirmList(e EndpointListConfirmed) {
-	d.list.tracked = true
+	d.list.tracked = d.settings.DrainGrace > 0
 	d.list.confirmedAt = max(d.list.confirmedAt, min(e.At, d.now))
 	isAnswered := func(askedAt time.Duration) bool { return askedAt <= d.list.confirmedAt }
 	d.list.askedAgainAt = slices.DeleteFunc(d.list.askedAgainAt, isAnswered)
