--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -70,7 +70,7 @@
 		Workers:      16,
 		CallRate:     60,
 		Duration:     8 * time.Second,
-		Settings:     Settings{DrainGrace: 500 * time.Millisecond, Deadline: 780 * time.Millisecond, HealthChecksAllowed: true, LoadsOnMiss: true},
+		Settings:     Settings{DrainGrace: 500 * time.Millisecond, Deadline: 780 * time.Millisecond, HealthChecksAllowed: true},
 		MinServed:    0.95,
 		FunctionSkew: 1.3,
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -66,7 +66,6 @@
 	DrainGrace          time.Duration
 	Deadline            time.Duration // of every call and class
 	HealthChecksAllowed bool
-	LoadsOnMiss         bool // workers load functions by themselves
 }
 
 func (s Schedule) String() string {
