--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -30,8 +30,9 @@
 	addr string
 	rec  *record
 	// leave, if not nil, returns after which time a client leaves; 0: it waits.
-	leave func() time.Duration
-	fresh bool // each request has a connection of its own
+	leave    func() time.Duration
+	fresh    bool // each request has a connection of its own
+	openOnly bool // no new connections any more, unless none is free
 
 	mu   sync.Mutex
 	idle []*clientConn
@@ -75,6 +76,10 @@
 func (c *clients) call(class, function string, deadline time.Duration, attrs string) *call {
 	k := &call{id: randomHex(16), class: class, function: function, key: randomHex(32), deadline: deadline}
 	c.mu.Lock()
+	if c.openOnly && len(c.idle) == 0 {
+		c.mu.Unlock()
+		return k
+	}
 	c.all = append(c.all, k)
 	c.mu.Unlock()
 	conn, err := c.conn()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,9 +22,11 @@
 	"moved-cell":        movedCell,
 	"unknown-functions": unknownFunctions,
 	// Tried without finding a fault.
-	"random-answers": randomAnswers,
-	"big-bodies":     bigBodies,
-	"crowd":          crowd,
+	"random-answers":  randomAnswers,
+	"endless-answers": endlessAnswers,
+	"shutdown":        shutdown,
+	"big-bodies":      bigBodies,
+	"crowd":           crowd,
 }
 
 func main() {
