--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"empty-lines":       emptyLines,
 	"moved-cell":        movedCell,
 	"unknown-functions": unknownFunctions,
+	"slow-channel":      slowChannel,
 	// Tried without finding a fault.
 	"random-answers":  randomAnswers,
 	"endless-answers": endlessAnswers,
--- a/review/standin/runs.go
+++ b/review/standin/runs.go
@@ -20,8 +20,29 @@
 
 // executions holds all attempts that model servers received.
 type executions struct {
-	mu  sync.Mutex
-	all []*execution
+	mu       sync.Mutex
+	all      []*execution
+	messages []message
+}
+
+// message is an attempt or an order to load as it came to a model server.
+type message struct {
+	server, what string
+	at           time.Duration
+}
+
+// got records a message.
+func (e *executions) got(server, what string, at time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.messages = append(e.messages, message{server, what, at})
+}
+
+// received returns the messages so far.
+func (e *executions) received() []message {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]message(nil), e.messages...)
 }
 
 var runs executions
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -139,7 +139,10 @@
 			go s.handleExec(c, items, draining, reply)
 		case items[0] == "ensure" && len(items) == 3:
 			fields := parseFields(items[2])
-			s.rec.add("server %s gets ensure %s %s", s.id, items[1], items[2])
+			at := s.rec.add("server %s gets ensure %s %s", s.id, items[1], items[2])
+			if fields["slots_up"] != "0" {
+				runs.got(s.id, "order to load "+items[2], at)
+			}
 			if draining && fields["slots_up"] != "0" {
 				reply(items[1], "refused", "slots_up=0", "")
 				continue
@@ -169,6 +172,7 @@
 	id, fields := items[1], parseFields(items[2])
 	class, key := fields["cls"], fields["nonce"]
 	arrived := s.rec.now()
+	runs.got(s.id, "call "+id, arrived)
 	if draining {
 		s.rec.add("server %s cell=%d gets exec %s class=%s key=%s, answers refused (drains)", s.id, s.cell, id, class, key)
 		reply(id, "refused", "-", "")
