httprouter: the state line shows unhandled input, the heap and the resident memory

A router reaches its memory limit under one client that sends empty lines. Nothing in the log told where the bytes are: in the request reader (bounded), in netpoll's buffer before it, in garbage, or outside of the heap.

Ruled out: runtime.ReadMemStats, which stops the program; package runtime/metrics doesn't.

Change: client_input and worker_input, the bytes received and not handled yet; heap and resident, as the Go runtime counts them.

--- a/internal/httprouter/stats.go
+++ b/internal/httprouter/stats.go
@@ -9,6 +9,7 @@
 	server := s.httpServer.Stats()
 	upstream := s.upstream.Stats()
 	watcher := s.watcher.Stats()
+	memory := readMemoryUse()
 	perServedMS := func(sum time.Duration) float64 { return sum.Seconds() * 1000 / float64(max(router.Served, 1)) }
 	s.logger.Info("state",
 		"list_age_ms", router.ListAge.Milliseconds(),
@@ -27,6 +28,10 @@
 		"clients", server.Connections,
 		"bad", server.BadRequests,
 		"evicted", server.Evicted,
+		"client_input", server.InputBytes,
+		"worker_input", upstream.InputBytes,
+		"heap", memory.heapObjects,
+		"resident", memory.resident,
 		"worker_conns", upstream.Conns,
 		"worker_open", upstream.InFlight,
 		"waiting", upstream.Queued,
--- a/internal/server/httpserver/server.go
+++ b/internal/server/httpserver/server.go
@@ -54,6 +54,7 @@
 type Stats struct {
 	Connections  int    // open now
 	OpenRequests int    // that the router has not answered
+	InputBytes   int    // received and not handled yet, before the request readers
 	Accepted     uint64 // connections so far
 	BadRequests  uint64 // rejected so far by this server
 	Evicted      uint64 // connections closed or rejected so far because there were too many
@@ -132,5 +133,8 @@
 	stats := s.stats
 	stats.Connections = len(s.conns)
 	stats.OpenRequests = len(s.openIDs)
+	for c := range s.conns {
+		stats.InputBytes += c.netConn.Reader().Len()
+	}
 	return stats
 }
