http1: empty lines before a request have a limit, and small parts are not copied again and again

A client that sends empty lines without end got neither an answer nor a close: they were skipped for ever, and as input kept waiting the connection never counted as late. Reader.discard copied the rest of the buffer for each empty line and each message in it, so handling 64 KB of them allocated 1.1 GB and the handler fell behind its peer.

Ruled out: a limit on the number of lines per call, which a client that sends one line at a time passes; chunked bodies, which readChunks already discards in one step.

Change: empty lines count against the limit of the header (431 beyond it), anew for each request. discard keeps the rest where it is.

--- a/internal/transport/http1/reader.go
+++ b/internal/transport/http1/reader.go
@@ -11,7 +11,7 @@
 
 // Limits are the limits on one message.
 type Limits struct {
-	Head    int // bytes of the start line and the header fields
+	Head    int // bytes of the start line and the header fields; also of the empty lines before a request
 	Fields  int // number of header fields
 	Body    int // bytes
 	Pending int // bytes that may be buffered beyond Head and Body, for input after a message that is being handled
@@ -44,10 +44,12 @@
 type Reader struct {
 	limits   Limits
 	response bool   // messages are responses, not requests
-	buf      []byte // received and not consumed
+	buf      []byte // received and not consumed; the end of an array that Add may replace
 	head     *Head  // of the message whose body is not complete; nil: none
 	scanned  int    // number of bytes in buf that were searched for the end of the head without finding it
 
+	emptyLineBytes int // skipped since the last head
+
 	// State of a chunked body.
 	body           []byte // data so far
 	chunkState     chunkState
@@ -119,26 +121,39 @@
 	return m
 }
 
-// discard removes the first n bytes of the buffer.
+// discard removes the first n bytes of the buffer. It does not copy the rest, because a buffer may hold thousands of
+// empty lines, chunks or messages.
 func (r *Reader) discard(n int) {
 	r.scanned = 0
 	if n == len(r.buf) {
 		r.buf = nil // an idle connection holds no buffer
 		return
 	}
-	r.buf = append([]byte(nil), r.buf[n:]...)
+	r.buf = r.buf[n:]
 }
 
 // skipEmptyLines removes empty lines before a request, which are to be ignored (RFC 9112, section 2.2).
 func (r *Reader) skipEmptyLines() {
-	for !r.response && len(r.buf) >= 2 && r.buf[0] == '\r' && r.buf[1] == '\n' {
-		r.discard(2)
+	if r.response {
+		return
+	}
+	emptyLine := []byte("\r\n")
+	skipped := 0
+	for bytes.HasPrefix(r.buf[skipped:], emptyLine) {
+		skipped += len(emptyLine)
+	}
+	if skipped > 0 {
+		r.emptyLineBytes += skipped
+		r.discard(skipped)
 	}
 }
 
 // readHead parses the head of the next message if it is complete, and stores it in r.head.
 func (r *Reader) readHead() error {
 	r.skipEmptyLines()
+	if r.emptyLineBytes > r.limits.Head {
+		return &Error{StatusHeaderFieldsTooLarge, "empty lines before a request exceed the limit of its header"}
+	}
 	headEnd := []byte("\r\n\r\n")
 	from := max(r.scanned-(len(headEnd)-1), 0)
 	end := bytes.Index(r.buf[from:], headEnd)
@@ -161,6 +176,7 @@
 		return err
 	}
 	r.discard(end + len(headEnd))
+	r.emptyLineBytes = 0
 	r.head, r.chunkState = head, chunkSize
 	return nil
 }
