--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -5,18 +5,17 @@
 	"fmt"
 	"time"
 
-	"github.com/cloudwego/netpoll"
+	"github.com/topazfront/topazfront/internal/transport/socket"
 )
 
 // Call sends one request to the socket at path and unmarshals the result into out. timeout applies to connecting and to
 // waiting for the response, separately. An error of the method is returned as a wrapped *Error.
 func Call(path, method string, params, out any, timeout time.Duration) error {
-	conn, err := netpoll.DialConnection("unix", path, timeout)
+	conn, err := socket.Dial("unix", path, timeout)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetReadTimeout(timeout)
 	raw, err := encodeRequest(method, params)
 	if err != nil {
 		return err
@@ -24,7 +23,7 @@
 	if err := writeLine(conn, raw); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	line, err := readLine(conn.Reader())
+	line, err := newLineReader(conn, timeout).readLine()
 	if err != nil {
 		return fmt.Errorf("%s: no response: %w", path, err)
 	}
--- a/internal/adminapi/protocol.go
+++ b/internal/adminapi/protocol.go
@@ -1,11 +1,12 @@
 package adminapi
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
-
-	"github.com/cloudwego/netpoll"
+	"net"
+	"time"
 )
 
 // protocolVersion is the JSON-RPC version in each request and response.
@@ -49,32 +50,54 @@
 
 var errLineTooLong = fmt.Errorf("a line of more than %d bytes", maxLineBytes)
 
-// readLine waits for a complete line and returns it without the newline. The returned bytes are owned by the reader and
-// valid until its next call. A line of more than maxLineBytes fails with errLineTooLong.
-func readLine(reader netpoll.Reader) ([]byte, error) {
-	for scanned := 0; ; {
-		if _, err := reader.Peek(scanned + 1); err != nil { // waits for at least one more byte
+// lineReader reads the lines of a connection. It buffers no more than a line.
+type lineReader struct {
+	conn    net.Conn
+	buffer  *bufio.Reader
+	timeout time.Duration // longest wait for more bytes of a line
+}
+
+func newLineReader(conn net.Conn, timeout time.Duration) *lineReader {
+	return &lineReader{conn: conn, buffer: bufio.NewReader(conn), timeout: timeout}
+}
+
+// waitForLine waits without a limit for the first byte of a line.
+func (r *lineReader) waitForLine() error {
+	_, err := r.buffer.Peek(1)
+	return err
+}
+
+// readLine waits for a complete line and returns it without the newline. A line of more than maxLineBytes fails with
+// errLineTooLong.
+func (r *lineReader) readLine() (line []byte, err error) {
+	for {
+		if err := r.conn.SetReadDeadline(time.Now().Add(r.timeout)); err != nil {
 			return nil, err
 		}
-		available := reader.Len()
-		buffered, err := reader.Peek(available)
-		if err != nil {
+		if _, err := r.buffer.Peek(1); err != nil { // waits for at least one more byte
 			return nil, err
 		}
-		if i := bytes.IndexByte(buffered[scanned:], '\n'); i >= 0 {
-			line, err := reader.Next(scanned + i + 1)
-			return line[:scanned+i], err
+		received, err := r.buffer.Peek(r.buffer.Buffered())
+		if err != nil {
+			return nil, err
 		}
-		if scanned = available; scanned > maxLineBytes {
+		part, _, found := bytes.Cut(received, []byte{'\n'})
+		line = append(line, part...)
+		if len(line) > maxLineBytes {
 			return nil, errLineTooLong
 		}
+		consumed := len(part)
+		if found {
+			consumed++
+		}
+		if _, err := r.buffer.Discard(consumed); err != nil || found {
+			return line, err
+		}
 	}
 }
 
 // writeLine sends one encoded object and a newline.
-func writeLine(conn netpoll.Connection, object []byte) error {
-	if _, err := conn.Writer().WriteBinary(append(object, '\n')); err != nil {
-		return err
-	}
-	return conn.Writer().Flush()
+func writeLine(conn net.Conn, object []byte) error {
+	_, err := conn.Write(append(object, '\n'))
+	return err
 }
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -1,17 +1,15 @@
 package adminapi
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/internal/transport/listen"
 )
 
@@ -20,6 +18,7 @@
 	shutdownTimeout = 100 * time.Millisecond // maximum time that Close waits for running requests
 	probeTimeout    = time.Second            // for the connection that tests whether a socket is served
 	maxPathBytes    = 107                    // size of sun_path (unix(7)) without the terminating NUL
+	maxConnections  = 64                     // open at once; each may hold a line of maxLineBytes
 )
 
 // Errors of Listen; test for them with errors.Is.
@@ -36,9 +35,13 @@
 // Server serves the API on one socket until Close.
 type Server struct {
 	listener *listen.Listener
-	loop     netpoll.EventLoop
 	methods  map[string]Method // read only
 	logger   *slog.Logger
+
+	mu      sync.Mutex
+	conns   map[net.Conn]struct{}
+	closed  bool
+	serving sync.WaitGroup // one for each connection
 }
 
 // Listen serves the methods on a socket at path. It replaces a stale socket, on which no process listens any more. It
@@ -59,13 +62,11 @@
 		_ = listener.Close()
 		return nil, fmt.Errorf("adminapi: %w", err)
 	}
-	s := &Server{listener: listener, methods: methods, logger: logger}
-	s.loop, err = netpoll.NewEventLoop(s.serveRequest)
-	if err != nil {
+	s := &Server{listener: listener, methods: methods, logger: logger, conns: map[net.Conn]struct{}{}}
+	if err := listener.Serve(s.accept); err != nil {
 		_ = listener.Close()
-		return nil, err
+		return nil, fmt.Errorf("adminapi: %w", err)
 	}
-	listener.Serve(s.loop)
 	return s, nil
 }
 
@@ -87,30 +88,81 @@
 
 // Close stops the server. It waits at most shutdownTimeout for running requests.
 func (s *Server) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	_ = s.loop.Shutdown(ctx)
 	_ = s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.SetReadDeadline(time.Now()) // ends the wait for a request
+	}
+	s.mu.Unlock()
+	force := time.AfterFunc(shutdownTimeout, s.closeConnections)
+	s.serving.Wait()
+	force.Stop()
 }
 
-// serveRequest reads one request from a connection and writes the response. After a read error it closes the
-// connection.
-func (s *Server) serveRequest(_ context.Context, conn netpoll.Connection) error {
-	_ = conn.SetReadTimeout(readTimeout)
-	line, err := readLine(conn.Reader())
+func (s *Server) closeConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// accept serves a new connection, or closes it if there are too many.
+func (s *Server) accept(conn net.Conn) {
+	s.mu.Lock()
+	full := len(s.conns) >= maxConnections
+	if !full {
+		s.conns[conn] = struct{}{}
+	}
+	s.mu.Unlock()
+	if full {
+		s.logger.Warn("admin connection closed: too many are open", "limit", maxConnections)
+		_ = conn.Close()
+		return
+	}
+	s.serving.Go(func() { s.serve(conn) })
+}
+
+// serve answers the requests of a connection, one after the other, until the connection ends.
+func (s *Server) serve(conn net.Conn) {
+	defer s.remove(conn)
+	reader := newLineReader(conn, readTimeout)
+	for s.mayWaitForRequest(conn) && reader.waitForLine() == nil {
+		if !s.serveRequest(conn, reader) {
+			return
+		}
+	}
+}
+
+// mayWaitForRequest removes the read deadline of the previous request. It reports false if the server is closed.
+func (s *Server) mayWaitForRequest(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closed && conn.SetReadDeadline(time.Time{}) == nil
+}
+
+func (s *Server) remove(conn net.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// serveRequest reads one request from a connection and writes the response. It reports whether another request may
+// follow, which is not so after a read error.
+func (s *Server) serveRequest(conn net.Conn, reader *lineReader) bool {
+	line, err := reader.readLine()
 	if err != nil {
 		if errors.Is(err, errLineTooLong) {
 			writeResponse(conn, response{Version: protocolVersion, ID: nullID, Error: &Error{codeParseError, err.Error()}})
 		}
-		_ = conn.Close()
-		return err
+		return false
 	}
-	resp, respond := s.handle(line) // retains no part of the line
-	_ = conn.Reader().Release()     // without it all requests would stay buffered until the connection ends
-	if respond {
+	if resp, respond := s.handle(line); respond {
 		writeResponse(conn, resp)
 	}
-	return nil
+	return true
 }
 
 // handle executes one request. respond is false for a valid notification. If the method panics, the response is an
@@ -162,7 +214,7 @@
 
 // writeResponse sends a response, or an error response if the result cannot be encoded. Write errors are ignored,
 // because a broken connection is closed anyway.
-func writeResponse(conn netpoll.Connection, resp response) {
+func writeResponse(conn net.Conn, resp response) {
 	raw, err := json.Marshal(resp)
 	if err != nil {
 		raw, _ = json.Marshal(response{Version: protocolVersion, ID: resp.ID,
--- a/internal/discovery/connection.go
+++ b/internal/discovery/connection.go
@@ -1,14 +1,12 @@
 package discovery
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"sync"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/internal/transport/http1"
+	"github.com/topazfront/topazfront/internal/transport/socket"
 )
 
 // Limits of a response, besides Config.MaxResponseBytes.
@@ -27,8 +25,8 @@
 // connection is one HTTP connection to the discovery server, with at most one request pending.
 type connection struct {
 	address string
-	conn    netpoll.Connection
-	reader  *http1.Reader // used only by netpoll's callbacks for the connection
+	conn    *socket.Conn
+	reader  *http1.Reader // used only by Received and Closed
 
 	mu       sync.Mutex
 	closeErr error           // not nil once the connection is closed
@@ -46,23 +44,21 @@
 
 // dial establishes a connection.
 func dial(address string, cfg Config) (*connection, error) {
-	conn, err := netpoll.NewDialer().DialConnection("tcp", address, cfg.ConnectTimeout)
+	netConn, err := socket.Dial("tcp", address, cfg.ConnectTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	limits := http1.Limits{Head: maxHeadBytes, Fields: maxHeaderFields, Body: cfg.MaxResponseBytes, Pending: maxPendingBytes}
 	c := &connection{
 		address: address,
-		conn:    conn,
 		reader:  http1.NewResponseReader(limits),
 		results: make(chan pollResult, 1),
 	}
-	_ = conn.SetWriteTimeout(cfg.ConnectTimeout)
-	_ = conn.SetOnRequest(func(context.Context, netpoll.Connection) error { c.onReadable(); return nil })
-	_ = conn.AddCloseCallback(func(netpoll.Connection) error { c.onClosed(); return nil })
-	if !conn.IsActive() { // the connection was closed before the callback was set
-		c.onClosed()
+	if c.conn, err = socket.New(netConn, c, cfg.ConnectTimeout); err != nil {
+		_ = netConn.Close()
+		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	c.conn.Start()
 	return c, nil
 }
 
@@ -74,24 +70,17 @@
 	return nil
 }
 
-// onReadable parses the received bytes and delivers complete responses. A panic closes only this connection.
-func (c *connection) onReadable() {
+// Received implements socket.Handler. It parses the input and delivers complete responses. A panic closes only this
+// connection.
+func (c *connection) Received(input []byte) {
 	defer func() {
 		if v := recover(); v != nil {
 			c.close(fmt.Errorf("discovery: panic: %v", v))
 		}
 	}()
-	in := c.conn.Reader()
-	for n := in.Len(); n > 0; n = in.Len() {
-		received, err := in.Next(min(n, max(c.reader.Available(), 1)))
-		if err == nil {
-			err = c.reader.Add(received)
-		}
-		_ = in.Release()
-		var message *http1.Message
-		if err == nil {
-			message, err = c.reader.Next()
-		}
+	for len(input) > 0 {
+		n := min(len(input), max(c.reader.Available(), 1))
+		message, err := c.parse(input[:n])
 		if err != nil {
 			c.close(err)
 			return
@@ -99,12 +88,21 @@
 		if message != nil {
 			c.deliver(pollResult{message: message})
 		}
+		input = input[n:]
+	}
+}
+
+// parse adds input to the reader and returns the next response, or nil if none is complete.
+func (c *connection) parse(input []byte) (*http1.Message, error) {
+	if err := c.reader.Add(input); err != nil {
+		return nil, err
 	}
+	return c.reader.Next()
 }
 
-// onClosed handles the close by the peer, which also ends a response without Content-Length. If such a response is
-// truncated, its body is not valid JSON and is rejected later.
-func (c *connection) onClosed() {
+// Closed implements socket.Handler. The close by the peer also ends a response without Content-Length. If such a
+// response is truncated, its body is not valid JSON and is rejected later.
+func (c *connection) Closed() {
 	if message := c.reader.End(); message != nil {
 		c.deliver(pollResult{message: message})
 	}
@@ -159,5 +157,5 @@
 	c.closeErr = err
 	c.mu.Unlock()
 	c.deliver(pollResult{err: err})
-	_ = c.conn.Close()
+	c.conn.Close()
 }
--- a/internal/gossip/agent/doc.go
+++ b/internal/gossip/agent/doc.go
@@ -3,6 +3,6 @@
 // confirmed as silent, and the highest number of live routers, which never decreases.
 //
 // An [Agent] owns its goroutines and ends them in [Agent.Close]: the loop, which alone uses the state machines; the
-// reader of datagrams; and one for each outbound stream, limited by a timeout. Inbound streams are read by netpoll's
-// goroutines, for which Close waits at most a second; a timer closes an inbound stream that takes too long.
+// reader of datagrams; and one for each stream, limited in number and by a timeout. Close waits for those of inbound
+// streams for at most a second.
 package agent
--- a/internal/gossip/agent/stream.go
+++ b/internal/gossip/agent/stream.go
@@ -1,23 +1,24 @@
 package agent
 
 import (
-	"context"
 	"encoding/binary"
 	"errors"
+	"io"
+	"net"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/internal/transport/listen"
+	"github.com/topazfront/topazfront/internal/transport/socket"
 )
 
 const (
 	streamHeaderBytes    = 4 // length of the packet, big-endian
 	maxStreamPacketBytes = 64 << 10
 	streamTimeout        = 2 * time.Second
-	maxDials             = 8  // concurrent outbound connections
-	maxInbound           = 64 // concurrent inbound connections
+	streamCloseTimeout   = time.Second // for inbound connections when the transport is closed
+	maxDials             = 8           // concurrent outbound connections
+	maxInbound           = 64          // concurrent inbound connections
 )
 
 var errStreamLength = errors.New("gossip: packet length in stream header is out of range")
@@ -26,16 +27,17 @@
 // preceded by its length, and is then closed; a reply uses a separate connection. Packets are signed like datagrams.
 type streamTransport struct {
 	listener  *listen.Listener
-	eventLoop netpoll.EventLoop
 	onPacket  func(source string, packet []byte)
 	dialSlots chan struct{}
 	dials     sync.WaitGroup // one goroutine for each outbound connection
 
 	mu      sync.Mutex
-	inbound map[netpoll.Connection]*time.Timer // the timer closes the connection
+	inbound map[net.Conn]struct{}
+	reading sync.WaitGroup // one goroutine for each inbound connection
 }
 
-// listenStream listens on an address. Goroutines of netpoll call onPacket for each packet; onPacket owns the slice.
+// listenStream listens on an address. onPacket is called for each packet, on the goroutine of its
+// connection, and owns the slice.
 func listenStream(addr string, onPacket func(source string, packet []byte)) (*streamTransport, error) {
 	listener, err := listen.Open("tcp", addr)
 	if err != nil {
@@ -45,70 +47,59 @@
 		listener:  listener,
 		onPacket:  onPacket,
 		dialSlots: make(chan struct{}, maxDials),
-		inbound:   map[netpoll.Connection]*time.Timer{},
+		inbound:   map[net.Conn]struct{}{},
 	}
-	s.eventLoop, err = netpoll.NewEventLoop(s.readPacket, netpoll.WithOnConnect(s.onConnect))
-	if err != nil {
+	if err := listener.Serve(s.accept); err != nil {
 		_ = listener.Close()
 		return nil, err
 	}
-	listener.Serve(s.eventLoop)
 	return s, nil
 }
 
-// onConnect admits an inbound connection for at most streamTimeout, or closes it if there are too many.
-func (s *streamTransport) onConnect(ctx context.Context, c netpoll.Connection) context.Context {
+// accept admits an inbound connection for at most streamTimeout, or closes it if there are too many.
+func (s *streamTransport) accept(conn net.Conn) {
 	s.mu.Lock()
 	full := len(s.inbound) >= maxInbound
 	if !full {
-		// A slow sender must not occupy a place for longer. The close callback stops the timer.
-		s.inbound[c] = time.AfterFunc(streamTimeout, func() { s.closeIfOpen(c) })
+		s.inbound[conn] = struct{}{}
 	}
 	s.mu.Unlock()
 	if full {
-		_ = c.Close()
-		return ctx
+		_ = conn.Close()
+		return
 	}
-	_ = c.AddCloseCallback(func(c netpoll.Connection) error {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if timer := s.inbound[c]; timer != nil {
-			timer.Stop()
-			delete(s.inbound, c)
+	s.reading.Go(func() {
+		defer s.remove(conn)
+		if packet, err := readStreamPacket(conn); err == nil {
+			s.onPacket(conn.RemoteAddr().String(), packet)
 		}
-		return nil
 	})
-	return ctx
 }
 
-func (s *streamTransport) closeIfOpen(c netpoll.Connection) {
+func (s *streamTransport) remove(conn net.Conn) {
+	_ = conn.Close()
 	s.mu.Lock()
-	_, open := s.inbound[c]
-	s.mu.Unlock()
-	if open {
-		_ = c.Close()
-	}
+	defer s.mu.Unlock()
+	delete(s.inbound, conn)
 }
 
-// readPacket reads the packet of an inbound connection and closes the connection.
-func (s *streamTransport) readPacket(_ context.Context, c netpoll.Connection) error {
-	defer func() { _ = c.Close() }()
-	_ = c.SetReadTimeout(streamTimeout)
-	r := c.Reader()
-	header, err := r.Next(streamHeaderBytes)
-	if err != nil {
-		return err
+// readStreamPacket reads the packet of an inbound connection. A slow sender must not occupy a place for longer than
+// streamTimeout.
+func readStreamPacket(conn net.Conn) ([]byte, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(streamTimeout)); err != nil {
+		return nil, err
 	}
-	length := int(binary.BigEndian.Uint32(header))
-	if length == 0 || length > maxStreamPacketBytes {
-		return errStreamLength
+	var header [streamHeaderBytes]byte
+	if _, err := io.ReadFull(conn, header[:]); err != nil {
+		return nil, err
 	}
-	packet, err := r.Next(length)
-	if err != nil {
-		return err
+	length := int(binary.BigEndian.Uint32(header[:]))
+	if length == 0 || length > maxStreamPacketBytes {
+		return nil, errStreamLength
 	}
-	s.onPacket(c.RemoteAddr().String(), append([]byte(nil), packet...))
-	return nil
+	packet := make([]byte, length)
+	_, err := io.ReadFull(conn, packet)
+	return packet, err
 }
 
 // Addr returns the listen address.
@@ -130,28 +121,31 @@
 
 // writePacket connects to an address and writes one packet. On failure the packet is lost.
 func writePacket(to string, packet []byte) {
-	c, err := netpoll.DialConnection("tcp", to, streamTimeout)
+	conn, err := socket.Dial("tcp", to, streamTimeout)
 	if err != nil {
 		return
 	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetWriteTimeout(streamTimeout)
-	w := c.Writer()
-	header, err := w.Malloc(streamHeaderBytes)
-	if err != nil {
+	defer func() { _ = conn.Close() }()
+	if conn.SetWriteDeadline(time.Now().Add(streamTimeout)) != nil {
 		return
 	}
-	binary.BigEndian.PutUint32(header, uint32(len(packet)))
-	if _, err = w.WriteBinary(packet); err == nil {
-		_ = w.Flush()
-	}
+	message := binary.BigEndian.AppendUint32(make([]byte, 0, streamHeaderBytes+len(packet)), uint32(len(packet)))
+	_, _ = conn.Write(append(message, packet...))
 }
 
-// Close closes the listener, waits up to a second for inbound connections, and waits for the outbound ones.
+// Close closes the listener, waits up to streamCloseTimeout for inbound connections, and waits for the outbound ones.
 func (s *streamTransport) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = s.eventLoop.Shutdown(ctx)
 	_ = s.listener.Close()
+	force := time.AfterFunc(streamCloseTimeout, s.closeInbound)
+	s.reading.Wait()
+	force.Stop()
 	s.dials.Wait()
 }
+
+func (s *streamTransport) closeInbound() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.inbound {
+		_ = conn.Close()
+	}
+}
--- a/internal/httprouter/process.go
+++ b/internal/httprouter/process.go
@@ -9,17 +9,13 @@
 	"runtime/debug"
 	"syscall"
 	"time"
-
-	"github.com/cloudwego/netpoll"
 )
 
 const (
-	statsInterval     = 5 * time.Second // between two log lines with statistics
-	reloadAttempts    = 10
-	reloadRetryDelay  = 50 * time.Millisecond
-	netpollPollers    = 1
-	netpollBufferSize = 4 << 10 // bytes; the first buffer of a connection
-	sighupBuffer      = 4       // signals queued during a reload; more would be redundant
+	statsInterval    = 5 * time.Second // between two log lines with statistics
+	reloadAttempts   = 10
+	reloadRetryDelay = 50 * time.Millisecond
+	sighupBuffer     = 4 // signals queued during a reload; more would be redundant
 )
 
 // Run is the main function of the process. It reads the configuration file at path, serves until ctx is done and then
@@ -31,9 +27,7 @@
 	if err != nil {
 		return err
 	}
-	if err := applyProcessLimits(cfg.Budget(), logger); err != nil {
-		return err
-	}
+	applyProcessLimits(cfg.Budget())
 	server, err := Start(cfg, Options{Logger: logger})
 	if err != nil {
 		return err
@@ -52,15 +46,10 @@
 	return sighup
 }
 
-// applyProcessLimits sets the process-wide limits. It must run before the first socket is opened.
-func applyProcessLimits(budget Budget, logger *slog.Logger) error {
+// applyProcessLimits sets the process-wide limits.
+func applyProcessLimits(budget Budget) {
 	runtime.GOMAXPROCS(budget.MaxProcs)
 	debug.SetMemoryLimit(budget.HeapLimit)
-	return netpoll.Configure(netpoll.Config{
-		PollerNum:    netpollPollers,
-		BufferSize:   netpollBufferSize,
-		LoggerOutput: netpollLog{logger},
-	})
 }
 
 // serve reloads the configuration on signals and logs statistics until ctx is done. Then it shuts the server down and
@@ -115,11 +104,3 @@
 	}
 	return nil, err
 }
-
-// netpollLog is an io.Writer that logs netpoll's output at debug level.
-type netpollLog struct{ logger *slog.Logger }
-
-func (l netpollLog) Write(line []byte) (int, error) {
-	l.logger.Debug("netpoll", "line", string(line))
-	return len(line), nil
-}
--- a/internal/httprouter/stats.go
+++ b/internal/httprouter/stats.go
@@ -28,8 +28,6 @@
 		"clients", server.Connections,
 		"bad", server.BadRequests,
 		"evicted", server.Evicted,
-		"client_input", server.InputBytes,
-		"worker_input", upstream.InputBytes,
 		"heap", memory.heapObjects,
 		"resident", memory.resident,
 		"worker_conns", upstream.Conns,
--- a/internal/server/httpserver/arrival.go
+++ b/internal/server/httpserver/arrival.go
@@ -3,8 +3,9 @@
 import (
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
+
+	"github.com/topazfront/topazfront/internal/transport/socket"
 )
 
 // arrival holds what the operating system reports about the bytes that a connection has received (TCP_INFO). The bytes
@@ -17,14 +18,13 @@
 }
 
 // currentArrival returns what the system reports now. If it reports nothing, the arrival time is the current time.
-func (s *Server) currentArrival(netConn netpoll.Connection) arrival {
+func (s *Server) currentArrival(netConn *socket.Conn) arrival {
 	now := time.Now()
-	if withFd, ok := netConn.(netpoll.Conn); ok {
-		if info, err := unix.GetsockoptTCPInfo(withFd.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			return newArrival(info, now, s.listeningSince)
-		}
+	info, err := unix.GetsockoptTCPInfo(netConn.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return arrival{last: now}
 	}
-	return arrival{last: now}
+	return newArrival(info, now, s.listeningSince)
 }
 
 // newArrival converts the system's report. An arrival time before the server started to listen is impossible;
--- a/internal/server/httpserver/close.go
+++ b/internal/server/httpserver/close.go
@@ -70,7 +70,7 @@
 	}
 	c.server.mu.Unlock()
 	if !lingering {
-		_ = c.netConn.Close()
+		c.netConn.Close()
 	}
 }
 
@@ -127,13 +127,20 @@
 	}
 	c.server.mu.Unlock()
 	if idle {
-		_ = c.netConn.Close()
+		c.netConn.Close()
 	}
 }
 
-// onClosed is netpoll's callback after either side has closed the connection. The descriptor is still open, and the
-// event loop no longer reads from it. onClosed cancels the call in flight. If the client has not closed the connection,
-// it responds to unanswered input.
+// Closed implements socket.Handler.
+func (c *conn) Closed() {
+	defer c.server.connsEnding.Done()
+	defer c.recoverPanic()
+	c.onClosed()
+}
+
+// onClosed ends the connection after either side has closed it. The descriptor is still open, and nothing is read from
+// it any more. onClosed cancels the call in flight. If the client has not closed the connection, it responds to
+// unanswered input.
 func (c *conn) onClosed() {
 	c.server.mu.Lock()
 	if c.ended {
@@ -145,25 +152,25 @@
 	mayRespond := !c.responding
 	responseOwed := c.requestInFlight || c.rejectsFirstRequest
 	c.responding = true
+	leftInput := c.leftInput
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
 	submitted := c.cancelCall()
-	fd := closingDescriptor(c.netConn)
+	fd := c.netConn.Fd()
 	if closedByPeer(fd) {
 		return
 	}
-	if mayRespond && (responseOwed || c.hasUnservedInput(fd)) {
+	if mayRespond && (responseOwed || leftInput || c.hasUnservedInput(fd)) {
 		_, _ = unix.Write(fd, http1.AppendResponse(nil, abortStatus(submitted), nil, nil, true))
 	}
 	discardInput(fd)
 }
 
-// hasUnservedInput reports whether input that was not served waits in the request reader, netpoll's buffer or the
-// socket.
+// hasUnservedInput reports whether input that was not served waits in the request reader or the socket.
 func (c *conn) hasUnservedInput(fd int) bool {
 	c.parseMu.Lock()
 	defer c.parseMu.Unlock()
-	return c.reader.Partial() || c.netConn.Reader().Len() > 0 || readable(fd)
+	return c.reader.Partial() || readable(fd)
 }
 
 // discardInput shuts down writing and discards the input in the socket. A close with unread input would reset the
--- a/internal/server/httpserver/close_test.go
+++ b/internal/server/httpserver/close_test.go
@@ -72,7 +72,7 @@
 			cl.send(request[:40])
 			waitForAccepted(t, s, 1)
 			c := serverSide(t, s, cl)
-			waitUntilLocked(t, s, "half a request", func() bool { return c.requestStarted && !c.reading })
+			waitUntilLocked(t, s, "half a request", func() bool { return c.requestStarted && !c.netConn.IsBusy() })
 			s.closeExpired(time.Now().Add(time.Hour))
 			waitUntilLocked(t, s, "the response", func() bool { return !c.lingerUntil.IsZero() })
 			cl.send(request[40:])
--- a/internal/server/httpserver/conn.go
+++ b/internal/server/httpserver/conn.go
@@ -2,20 +2,21 @@
 
 import (
 	"errors"
+	"net"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
 	"github.com/topazfront/topazfront/internal/transport/http1"
 	"github.com/topazfront/topazfront/internal/transport/listen"
+	"github.com/topazfront/topazfront/internal/transport/socket"
 )
 
 // conn is a client's connection. It reads requests and, as the router.Client of its call, receives the final answer.
 type conn struct {
 	server  *Server
-	netConn netpoll.Connection
+	netConn *socket.Conn
 
 	parseMu  sync.Mutex // guards reader and arrivals; locked before the server's mutex
 	reader   *http1.Reader
@@ -26,7 +27,6 @@
 	lastActivity time.Time // when the connection was accepted, its request began, or its last response was written
 
 	// The request.
-	reading         bool   // onReadable is reading received bytes
 	requestStarted  bool   // a request has begun to arrive and is not complete
 	requestInFlight bool   // a request is being handled, or its response is being written
 	requestCount    uint64 // complete requests so far
@@ -41,43 +41,39 @@
 	// The end of the connection; see close.go.
 	rejectsFirstRequest bool      // accepted beyond the limit of connections
 	discarding          bool      // further input is discarded; the connection ends with the next response
+	leftInput           bool      // input came after the connection was closed, and was not served
 	lingerUntil         time.Time // when the wait for the client to close the connection ends; zero: not waiting
 	closed              bool      // no further input is served
 	ended               bool      // onClosed has run
 }
 
-func (s *Server) newConn(netConn netpoll.Connection) *conn {
+// newConn returns the connection that serves netConn, which it takes over. It reads nothing yet.
+func (s *Server) newConn(netConn net.Conn) (*conn, error) {
 	c := &conn{
 		server:       s,
-		netConn:      netConn,
 		reader:       http1.NewReader(s.cfg.Limits),
 		lastActivity: time.Now(),
 	}
-	c.arrivals.lastRequest = s.currentArrival(netConn).last
-	return c
+	var err error
+	if c.netConn, err = socket.New(netConn, c, s.cfg.WriteTimeout); err != nil {
+		return nil, err
+	}
+	c.arrivals.lastRequest = s.currentArrival(c.netConn).last
+	return c, nil
 }
 
-// disconnected reports whether the client has closed the connection. It also polls the socket, because the event loop
-// may not have reported the close yet.
+// disconnected reports whether the client has closed the connection. It also polls the socket, because the close may
+// not have been read yet.
 func (c *conn) disconnected() bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	return c.closed || !c.netConn.IsActive() || closedByPeer(descriptor(c.netConn))
-}
-
-// descriptor returns the descriptor of an active connection, or -1 if the connection is not active or has none.
-func descriptor(netConn netpoll.Connection) int {
-	if withFd, ok := netConn.(netpoll.Conn); ok && netConn.IsActive() {
-		return withFd.Fd()
-	}
-	return -1
+	return c.closed || !c.netConn.IsActive() || closedByPeer(c.netConn.Fd())
 }
 
-// closingDescriptor returns the descriptor of a connection that is being closed and so no longer active, or -1 if it
-// has none.
-func closingDescriptor(netConn netpoll.Connection) int {
-	if withFd, ok := netConn.(netpoll.Conn); ok {
-		return withFd.Fd()
+// descriptor returns the descriptor of an active connection, or -1 if the connection is not active.
+func descriptor(netConn *socket.Conn) int {
+	if netConn.IsActive() {
+		return netConn.Fd()
 	}
 	return -1
 }
@@ -96,24 +92,22 @@
 	return ready
 }
 
-// onReadable is netpoll's callback for received input, which it reads. netpoll runs it on one goroutine at a time.
-func (c *conn) onReadable() {
+// Received implements socket.Handler. It passes the input to the request reader and serves complete requests.
+func (c *conn) Received(input []byte) {
 	defer c.recoverPanic()
-	defer c.stopReading()
-	r := c.netConn.Reader()
 	current := c.server.currentArrival(c.netConn)
-	for n := r.Len(); n > 0; n = r.Len() {
-		closed, discarding := c.startReading()
+	for len(input) > 0 {
+		closed, discarding := c.inputState()
 		if discarding {
-			_ = r.Skip(n)
-			_ = r.Release()
-			continue
+			return
 		}
 		if closed { // onClosed responds to the input
-			_ = c.netConn.Close()
+			c.netConn.Close()
 			return
 		}
-		if err := c.addToReader(r, n, current); err != nil {
+		n, err := c.addToReader(input, current)
+		input = input[n:]
+		if err != nil {
 			c.abort() // too much input after a request in flight
 			continue
 		}
@@ -121,38 +115,26 @@
 	}
 }
 
-// startReading marks the connection as being read, which counts as pending work. closed and discarding tell what to do
-// with the input.
-func (c *conn) startReading() (closed, discarding bool) {
+// inputState returns whether input is discarded, or the connection closed, so that input must not be served.
+func (c *conn) inputState() (closed, discarding bool) {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.reading = true
+	c.leftInput = c.closed && !c.discarding
 	return c.closed, c.discarding
 }
 
-// stopReading removes the mark of startReading.
-func (c *conn) stopReading() {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	c.reading = false
-}
-
-// addToReader moves at most n received bytes to the request reader. current is what the system reported about their
-// arrival.
-func (c *conn) addToReader(received netpoll.Reader, n int, current arrival) error {
+// addToReader adds as much of the input as the request reader accepts and returns how much that is. current is what the
+// system reported about the arrival of the input.
+func (c *conn) addToReader(input []byte, current arrival) (n int, err error) {
 	c.parseMu.Lock()
 	defer c.parseMu.Unlock()
 	c.arrivals.update(current)
 	c.server.mu.Lock()
 	followsRequest := c.requestInFlight
 	c.server.mu.Unlock()
-	p, err := received.Next(min(n, max(c.reader.Available(), 1)))
-	if err == nil {
-		c.arrivals.recordRead(len(p), followsRequest)
-		err = c.reader.Add(p)
-	}
-	_ = received.Release()
-	return err
+	n = min(len(input), max(c.reader.Available(), 1))
+	c.arrivals.recordRead(n, followsRequest)
+	return n, c.reader.Add(input[:n])
 }
 
 // serveNext serves the next request if it is complete and no other request is in flight. It rejects the connection if
--- a/internal/server/httpserver/disconnect_test.go
+++ b/internal/server/httpserver/disconnect_test.go
@@ -5,26 +5,14 @@
 	"io"
 	"maps"
 	"net"
-	"syscall"
 	"testing"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/internal/router"
 	"github.com/topazfront/topazfront/internal/testsupport"
 )
 
-// unnotifiedConn is a connection whose event loop has not read or reported anything yet.
-type unnotifiedConn struct {
-	netpoll.Connection
-	fd int
-}
-
-func (c unnotifiedConn) Fd() int                { return c.fd }
-func (c unnotifiedConn) IsActive() bool         { return true }
-func (c unnotifiedConn) Reader() netpoll.Reader { return netpoll.NewLinkBuffer() }
-
-// newUnnotifiedConn returns an unnotified connection of a server, and the client's end of it.
+// newUnnotifiedConn returns a connection of a server that has not read or noticed anything yet, and the client's end of
+// it.
 func newUnnotifiedConn(t *testing.T, s *Server) (*conn, *net.TCPConn) {
 	t.Helper()
 	listener := testsupport.Listen(t)
@@ -37,18 +25,12 @@
 		t.Fatal(err)
 	}
 	client, _ := dialed.(*net.TCPConn)
-	tcpConn, _ := accepted.(*net.TCPConn)
-	file, err := tcpConn.File() // a duplicate of the descriptor
+	t.Cleanup(func() { _, _ = client.Close(), accepted.Close() })
+	c, err := s.newConn(accepted)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = tcpConn.Close()
-	t.Cleanup(func() { _, _ = client.Close(), file.Close() })
-	fd := int(file.Fd())
-	if err := syscall.SetNonblock(fd, true); err != nil {
-		t.Fatal(err)
-	}
-	return s.newConn(unnotifiedConn{fd: fd}), client
+	return c, client
 }
 
 // TestDisconnectedClient guards against a ClientCancelled that reports a disconnect only when the event loop does, and
--- a/internal/server/httpserver/doc.go
+++ b/internal/server/httpserver/doc.go
@@ -10,7 +10,7 @@
 // which the settings limit. The server's mutex guards the fields of all connections, except for the reader and the
 // arrival times, which the connection's parseMu guards. parseMu is locked before the server's mutex.
 //
-// internal/httprouter starts and stops the server. netpoll calls onReadable and onClosed of a connection. The router's
+// internal/httprouter starts and stops the server. Package socket calls Received and Closed of a connection, on one goroutine each. The router's
 // loop calls the methods of router.Client on a connection. Each response is written by a separate goroutine, and one
 // goroutine closes late and idle connections.
 package httpserver
--- a/internal/server/httpserver/eviction.go
+++ b/internal/server/httpserver/eviction.go
@@ -1,21 +1,25 @@
 package httpserver
 
-import "github.com/cloudwego/netpoll"
+import "net"
 
 // rejectionReserveDivisor divides MaxConnections; the result is the number of connections reserved for clients whose
 // first request is read and rejected. Without this reserve a connection beyond the limit would be closed at once, and a
 // request that arrives after the close would get no answer.
 const rejectionReserveDivisor = 16
 
-// addConnection registers a new connection and closes one, an older one or the new one itself, if there are too many.
-func (s *Server) addConnection(netConn netpoll.Connection) *conn {
-	_ = netConn.SetWriteTimeout(s.cfg.WriteTimeout)
-	c := s.newConn(netConn)
-	_ = netConn.AddCloseCallback(func(netpoll.Connection) error { c.onClosed(); return nil })
+// accept serves a new connection and closes one, an older one or the new one itself, if there are too many.
+func (s *Server) accept(netConn net.Conn) {
+	c, err := s.newConn(netConn)
+	if err != nil {
+		s.cfg.Logger.Warn("client connection not served", "error", err)
+		_ = netConn.Close()
+		return
+	}
+	s.connsEnding.Add(1)
 	if evicted := s.register(c); evicted != nil {
-		_ = evicted.netConn.Close()
+		evicted.netConn.Close()
 	}
-	return c
+	c.netConn.Start()
 }
 
 // register adds c to the server's connections and returns the connection that the caller must close, if any. If the
@@ -81,8 +85,7 @@
 	return !lingering && (c.requestInFlight || c.hasUnreadInput())
 }
 
-// hasUnreadInput reports whether input is being read, or waits in the socket or in netpoll's buffer. The caller holds
-// the server's mutex.
+// hasUnreadInput reports whether input waits in the socket or is being handled. The caller holds the server's mutex.
 func (c *conn) hasUnreadInput() bool {
-	return c.reading || readable(descriptor(c.netConn)) || c.netConn.Reader().Len() > 0
+	return c.netConn.IsActive() && c.netConn.HasUnhandledInput()
 }
--- a/internal/server/httpserver/harness_test.go
+++ b/internal/server/httpserver/harness_test.go
@@ -259,11 +259,7 @@
 // waitUntilReading waits until the server is reading input of a connection, or has stopped reading it.
 func waitUntilReading(t *testing.T, c *conn, reading bool) {
 	t.Helper()
-	testsupport.WaitUntil(t, fmt.Sprintf("reading = %v", reading), func() bool {
-		c.server.mu.Lock()
-		defer c.server.mu.Unlock()
-		return c.reading == reading
-	})
+	testsupport.WaitUntil(t, fmt.Sprintf("reading = %v", reading), func() bool { return c.netConn.IsBusy() == reading })
 }
 
 // serverSide returns the server's connection of a client.
--- a/internal/server/httpserver/response.go
+++ b/internal/server/httpserver/response.go
@@ -79,7 +79,7 @@
 	case err == nil && closing && discarding:
 		c.linger()
 	case err != nil || closing:
-		_ = c.netConn.Close()
+		c.netConn.Close()
 	case discarding: // abort was called while the response was being written
 		c.abort()
 	default:
--- a/internal/server/httpserver/server.go
+++ b/internal/server/httpserver/server.go
@@ -1,15 +1,12 @@
 package httpserver
 
 import (
-	"context"
 	"log/slog"
 	"net"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/dispatch"
 	"github.com/topazfront/topazfront/internal/router"
 	"github.com/topazfront/topazfront/internal/transport/http1"
@@ -34,12 +31,12 @@
 
 // Server accepts client connections on one listener and serves their requests.
 type Server struct {
-	cfg       Config
-	router    *router.Router
-	listener  *listen.Listener
-	eventLoop netpoll.EventLoop
-	stop      chan struct{} // closed by Close; stops the goroutine that runs sweep
-	wg        sync.WaitGroup
+	cfg         Config
+	router      *router.Router
+	listener    *listen.Listener
+	stop        chan struct{} // closed by Close; stops the goroutine that runs sweep
+	wg          sync.WaitGroup
+	connsEnding sync.WaitGroup // one for each accepted connection until Closed has run
 
 	listeningSince time.Time
 
@@ -54,15 +51,11 @@
 type Stats struct {
 	Connections  int    // open now
 	OpenRequests int    // that the router has not answered
-	InputBytes   int    // received and not handled yet, before the request readers
 	Accepted     uint64 // connections so far
 	BadRequests  uint64 // rejected so far by this server
 	Evicted      uint64 // connections closed or rejected so far because there were too many
 }
 
-// connContextKey is the context key of a connection's *conn in netpoll's callbacks.
-type connContextKey struct{}
-
 // Listen opens the listener and serves connections in the background until Close.
 func Listen(cfg Config, r *router.Router) (*Server, error) {
 	if cfg.Logger == nil {
@@ -83,12 +76,11 @@
 	if cfg.ReceiveBufferBytes > 0 { // accepted connections inherit it
 		setReceiveBuffer(s.listener.Listener, cfg.ReceiveBufferBytes)
 	}
-	if s.eventLoop, err = s.newEventLoop(); err != nil {
+	s.listener.SetLogger(cfg.Logger)
+	if err := s.listener.Serve(s.accept); err != nil {
 		_ = s.listener.Close()
 		return nil, err
 	}
-	s.listener.SetLogger(cfg.Logger)
-	s.listener.Serve(s.eventLoop)
 	s.wg.Go(s.sweep)
 	return s, nil
 }
@@ -107,22 +99,6 @@
 	}
 }
 
-func (s *Server) newEventLoop() (netpoll.EventLoop, error) {
-	return netpoll.NewEventLoop(
-		func(ctx context.Context, _ netpoll.Connection) error {
-			connFromContext(ctx).onReadable()
-			return nil
-		},
-		netpoll.WithOnPrepare(func(netConn netpoll.Connection) context.Context {
-			return context.WithValue(context.Background(), connContextKey{}, s.addConnection(netConn))
-		}))
-}
-
-func connFromContext(ctx context.Context) *conn {
-	c, _ := ctx.Value(connContextKey{}).(*conn)
-	return c
-}
-
 // Addr returns the listener's address.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -133,8 +109,5 @@
 	stats := s.stats
 	stats.Connections = len(s.conns)
 	stats.OpenRequests = len(s.openIDs)
-	for c := range s.conns {
-		stats.InputBytes += c.netConn.Reader().Len()
-	}
 	return stats
 }
--- a/internal/server/httpserver/shutdown.go
+++ b/internal/server/httpserver/shutdown.go
@@ -1,13 +1,14 @@
 package httpserver
 
 import (
-	"context"
+	"maps"
+	"slices"
 	"time"
 )
 
 const (
-	drainPollInterval        = 5 * time.Millisecond
-	eventLoopShutdownTimeout = time.Second
+	drainPollInterval = 5 * time.Millisecond
+	closeTimeout      = time.Second // for connections whose input is being handled when the server is closed
 )
 
 // WaitForDrain waits until no client waits for a response, and reports whether that happened within limit. A client
@@ -44,18 +45,29 @@
 		return
 	}
 	s.closed = true
-	conns := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
 	s.mu.Unlock()
 	close(s.stop)
 	s.wg.Wait()
+	_ = s.listener.Close()
+	s.closeConnections()
+}
+
+// closeConnections closes all connections and waits for their end, for closeTimeout at most.
+func (s *Server) closeConnections() {
+	s.mu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
 	for _, c := range conns {
-		_ = c.netConn.Close()
+		c.netConn.Close()
+	}
+	ended := make(chan struct{})
+	go func() {
+		s.connsEnding.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(closeTimeout):
+		s.cfg.Logger.Warn("closed before all client connections had ended")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), eventLoopShutdownTimeout)
-	defer cancel()
-	_ = s.eventLoop.Shutdown(ctx)
-	_ = s.listener.Close()
 }
--- a/internal/server/httpserver/sweep.go
+++ b/internal/server/httpserver/sweep.go
@@ -42,7 +42,7 @@
 		c.closeIfIdle()
 	}
 	for _, c := range lingered {
-		_ = c.netConn.Close()
+		c.netConn.Close()
 	}
 }
 
--- a/internal/transport/http2/conn.go
+++ b/internal/transport/http2/conn.go
@@ -1,14 +1,14 @@
 package http2
 
 import (
-	"context"
+	"bufio"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/internal/transport/hpack"
+	"github.com/topazfront/topazfront/internal/transport/socket"
 )
 
 // assumedMaxStreams is the number of streams that a client may open before the server's SETTINGS arrive.
@@ -28,11 +28,13 @@
 // Conn is one end of an HTTP/2 connection.
 type Conn struct {
 	cfg      Config
-	netConn  netpoll.Connection
+	netConn  net.Conn
 	handler  Handler
 	isClient bool
 
 	// Used by the reading goroutine only.
+	reader             *bufio.Reader
+	frameBuffer        []byte // payload of the frame that is being handled, reused
 	decoder            *hpack.Decoder
 	fieldBuffer        []hpack.Field // decoded fields, reused
 	headerBlock        []byte        // fragments so far of a header block that spans CONTINUATION frames
@@ -78,7 +80,7 @@
 }
 
 // newConn returns a connection with its preface queued. The caller flushes the preface when the socket is ready.
-func newConn(netConn netpoll.Connection, cfg Config, h Handler, isClient bool) *Conn {
+func newConn(netConn net.Conn, cfg Config, h Handler, isClient bool) *Conn {
 	cfg = cfg.withDefaults()
 	c := &Conn{
 		cfg:      cfg,
@@ -86,6 +88,7 @@
 		handler:  h,
 		isClient: isClient,
 
+		reader:          bufio.NewReader(netConn),
 		decoder:         hpack.NewDecoder(hpack.DefaultTableSize, cfg.MaxHeaderListSize),
 		prefaceReceived: isClient,
 		glitchTokens:    cfg.GlitchBurst,
@@ -106,31 +109,19 @@
 		c.nextStreamID = 1
 	}
 	c.queuePreface()
-	_ = netConn.SetReadTimeout(cfg.FrameReadTimeout)
-	_ = netConn.SetWriteTimeout(cfg.WriteTimeout)
 	return c
 }
 
 // Dial connects to a server and returns when the socket is connected. Streams may be opened before the settings
 // have been exchanged, as RFC 9113, section 3.4 permits.
 func Dial(network, addr string, timeout time.Duration, cfg Config, h Handler) (*Conn, error) {
-	netConn, err := netpoll.NewDialer().DialConnection(network, addr, timeout)
+	netConn, err := socket.Dial(network, addr, timeout)
 	if err != nil {
 		return nil, fmt.Errorf("http2: %w", err)
 	}
 	c := newConn(netConn, cfg, h, true)
-	if err := netConn.SetOnRequest(func(context.Context, netpoll.Connection) error { return c.readFrames() }); err != nil {
-		_ = netConn.Close()
-		return nil, fmt.Errorf("http2: read from %s: %w", addr, err)
-	}
-	_ = netConn.AddCloseCallback(func(netpoll.Connection) error {
-		c.terminate(errClosedByPeer)
-		return nil
-	})
-	if !netConn.IsActive() {
-		return nil, errClosedOnConnect
-	}
 	c.flushPreface()
+	go c.readLoop()
 	return c, nil
 }
 
--- a/internal/transport/http2/errors.go
+++ b/internal/transport/http2/errors.go
@@ -16,9 +16,8 @@
 
 // Reasons for the end of a connection that are not protocol errors.
 var (
-	errClosedByPeer    = errors.New("http2: connection closed by the peer")
-	errClosedLocal     = errors.New("http2: connection closed by this end")
-	errClosedOnConnect = errors.New("http2: connection closed by the peer as soon as it was open")
+	errClosedByPeer = errors.New("http2: connection closed by the peer")
+	errClosedLocal  = errors.New("http2: connection closed by this end")
 )
 
 // ErrCode is the error code of a RST_STREAM or GOAWAY frame (RFC 9113, section 7).
--- a/internal/transport/http2/read.go
+++ b/internal/transport/http2/read.go
@@ -2,31 +2,41 @@
 
 import (
 	"fmt"
+	"io"
 	"log/slog"
 	"runtime/debug"
 	"time"
-
-	"github.com/cloudwego/netpoll"
 )
 
 // framesPerFlush is the number of frames handled between two flushes of the write buffer, so that a peer that sends
 // without pause still gets its responses.
 const framesPerFlush = 64
 
-// readFrames handles the frames that have arrived. netpoll calls it, on one goroutine at a time, when there are bytes
-// to read. For the rest of an incomplete frame header or payload it waits up to Config.FrameReadTimeout each.
-func (c *Conn) readFrames() error {
+// readLoop reads and handles frames until the connection ends, and then closes it. It reads no faster than the frames
+// are handled, so that a peer that sends faster has to wait.
+func (c *Conn) readLoop() {
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			break
+		}
+		c.readFrames()
+	}
+	c.terminate(errClosedByPeer)
+	_ = c.netConn.Close()
+}
+
+// readFrames handles the frames of which a part has been read. For the rest of an incomplete frame header or payload it
+// waits up to Config.FrameReadTimeout each.
+func (c *Conn) readFrames() {
 	defer c.recoverPanic()
 	c.deferFlush(true)
-	r := c.netConn.Reader()
 	var err error
-	for n := 1; err == nil && r.Len() > 0; n++ {
+	for n := 1; err == nil && c.reader.Buffered() > 0; n++ {
 		if c.failed() { // input that arrives after our GOAWAY is discarded
-			_ = r.Skip(r.Len())
+			_, err = c.reader.Discard(c.reader.Buffered())
 		} else {
-			err = c.readFrame(r)
+			err = c.readFrame()
 		}
-		_ = r.Release()
 		if n%framesPerFlush == 0 {
 			c.deferFlush(false)
 			c.deferFlush(true)
@@ -36,7 +46,6 @@
 	if err != nil {
 		c.fail(err)
 	}
-	return nil
 }
 
 // failed reports whether the connection has failed, so that only its GOAWAY remains to be written.
@@ -63,9 +72,9 @@
 }
 
 // readFrame reads and handles one frame, after the client preface if that has not been read yet.
-func (c *Conn) readFrame(r netpoll.Reader) error {
+func (c *Conn) readFrame() error {
 	if !c.prefaceReceived {
-		b, err := c.readBytes(r, len(clientPreface))
+		b, err := c.readBytes(len(clientPreface))
 		if err != nil {
 			return err
 		}
@@ -73,11 +82,11 @@
 			return connError(ProtocolError, "no HTTP/2 preface")
 		}
 		c.prefaceReceived = true
-		if r.Len() == 0 {
+		if c.reader.Buffered() == 0 {
 			return nil
 		}
 	}
-	b, err := c.readBytes(r, frameHeaderLen)
+	b, err := c.readBytes(frameHeaderLen)
 	if err != nil {
 		return err
 	}
@@ -87,22 +96,41 @@
 	}
 	var payload []byte
 	if h.length > 0 {
-		if payload, err = c.readBytes(r, h.length); err != nil {
+		if payload, err = c.readBytes(h.length); err != nil {
 			return err
 		}
 	}
 	return c.handleFrame(h, payload)
 }
 
-// readBytes returns the next n bytes, valid until the reader's Release. While it waits for missing bytes, frames that
-// other goroutines write are flushed without delay.
-func (c *Conn) readBytes(r netpoll.Reader, n int) ([]byte, error) {
-	if r.Len() >= n {
-		return r.Next(n)
+// readBytes returns the next n bytes, valid until its next call. While it waits for missing bytes, frames that other
+// goroutines write are flushed without delay.
+func (c *Conn) readBytes(n int) ([]byte, error) {
+	if n > cap(c.frameBuffer) {
+		c.frameBuffer = make([]byte, n)
+	}
+	bytes := c.frameBuffer[:n]
+	if c.reader.Buffered() >= n {
+		_, err := io.ReadFull(c.reader, bytes)
+		return bytes, err
 	}
 	c.deferFlush(false)
 	defer c.deferFlush(true)
-	return r.Next(n)
+	if err := c.netConn.SetReadDeadline(deadlineAfter(c.cfg.FrameReadTimeout)); err != nil {
+		return nil, err
+	}
+	if _, err := io.ReadFull(c.reader, bytes); err != nil {
+		return nil, err
+	}
+	return bytes, c.netConn.SetReadDeadline(time.Time{})
+}
+
+// deadlineAfter returns the deadline of a read or write that starts now; zero if there is no limit.
+func deadlineAfter(limit time.Duration) time.Time {
+	if limit <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(limit)
 }
 
 // deferFlush sets whether written frames are collected while the reading goroutine handles frames. Switching it off
--- a/internal/transport/http2/server.go
+++ b/internal/transport/http2/server.go
@@ -1,36 +1,25 @@
 package http2
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"slices"
 	"sync"
-	"time"
-
-	"github.com/cloudwego/netpoll"
 
 	"github.com/topazfront/topazfront/internal/transport/listen"
 )
 
-// closeTimeout is the time that Server.Close waits for the event loop to stop.
-const closeTimeout = time.Second
-
 // Server accepts HTTP/2 connections on one listener.
 type Server struct {
 	cfg        Config
 	newHandler func(*Conn) Handler
 	listener   *listen.Listener
-	eventLoop  netpoll.EventLoop
 
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
 	draining bool
 }
 
-// connKey is the context key for the *Conn of a netpoll connection.
-type connKey struct{}
-
 // Listen opens a listener on network "tcp" or "unix" and serves it until Close. newHandler is called for each
 // accepted connection before its first frame and returns the connection's Handler.
 func Listen(network, addr string, cfg Config, newHandler func(*Conn) Handler) (*Server, error) {
@@ -39,51 +28,26 @@
 		return nil, err
 	}
 	s := &Server{cfg: cfg, newHandler: newHandler, listener: listener, conns: map[*Conn]struct{}{}}
-	s.eventLoop, err = netpoll.NewEventLoop(s.onRequest, netpoll.WithOnPrepare(s.onPrepare),
-		netpoll.WithOnConnect(s.onConnect))
-	if err != nil {
+	if err := listener.Serve(s.accept); err != nil {
 		_ = listener.Close()
-		return nil, fmt.Errorf("http2: start the event loop of %s: %w", addr, err)
+		return nil, fmt.Errorf("http2: accept connections on %s: %w", addr, err)
 	}
-	listener.Serve(s.eventLoop)
 	return s, nil
 }
 
-// onPrepare is called by netpoll for an accepted connection before any other callback.
-func (s *Server) onPrepare(netConn netpoll.Connection) context.Context {
+// accept serves a new connection.
+func (s *Server) accept(netConn net.Conn) {
 	c := newConn(netConn, s.cfg, nil, false)
 	c.handler = trackedHandler{s.newHandler(c), s}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
-	s.mu.Unlock()
-	return context.WithValue(context.Background(), connKey{}, c)
-}
-
-// onConnect is called by netpoll after onPrepare, before the first onRequest of the connection.
-func (s *Server) onConnect(ctx context.Context, netConn netpoll.Connection) context.Context {
-	c, _ := ctx.Value(connKey{}).(*Conn)
-	_ = netConn.AddCloseCallback(func(netpoll.Connection) error {
-		c.terminate(errClosedByPeer)
-		return nil
-	})
-	if !netConn.IsActive() { // it was closed before the callback was registered
-		c.terminate(errClosedByPeer)
-		return ctx
-	}
-	c.flushPreface()
-	s.mu.Lock()
 	draining := s.draining
 	s.mu.Unlock()
-	if draining { // accepted after Drain was called, or too late for its list of open connections
+	c.flushPreface()
+	if draining { // accepted after Drain was called
 		c.Shutdown()
 	}
-	return ctx
-}
-
-// onRequest is called by netpoll when a connection has bytes to read.
-func (s *Server) onRequest(ctx context.Context, _ netpoll.Connection) error {
-	c, _ := ctx.Value(connKey{}).(*Conn)
-	return c.readFrames()
+	go c.readLoop()
 }
 
 // trackedHandler wraps a Handler and removes the connection from its server when it closes.
@@ -152,14 +116,8 @@
 
 // Close closes the listener and all connections.
 func (s *Server) Close() {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
+	_ = s.listener.Close()
 	for _, c := range s.openConns() {
 		c.Close()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	_ = s.eventLoop.Shutdown(ctx)
-	_ = s.listener.Close()
 }
--- a/internal/transport/http2/write.go
+++ b/internal/transport/http2/write.go
@@ -63,11 +63,11 @@
 
 // writeSocket writes p and blocks until the socket has accepted it, up to Config.WriteTimeout.
 func (c *Conn) writeSocket(p []byte) error {
-	w := c.netConn.Writer()
-	if _, err := w.WriteBinary(p); err != nil {
+	if err := c.netConn.SetWriteDeadline(deadlineAfter(c.cfg.WriteTimeout)); err != nil {
 		return err
 	}
-	return w.Flush()
+	_, err := c.netConn.Write(p)
+	return err
 }
 
 // fillWriteBuffer moves queued bytes of the streams into writeBuffer, round-robin by one frame per stream, as far as
--- a/internal/transport/listen/accept.go
+++ b/internal/transport/listen/accept.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// acceptPause is the delay after each repeated failure of accept4. It keeps the event loop from using a whole
+// acceptPause is the delay after each repeated failure of accept4. It keeps Serve from using a whole
 // processor.
 const acceptPause = time.Millisecond
 
@@ -19,9 +19,9 @@
 type accept4Func func(fd, flags int) (connFD int, address syscall.Sockaddr, err error)
 
 // Accept returns the next connection. It returns nil without an error if no connection waits, the listener is closed,
-// or the system call fails. It never returns an error, because the event loop would log each one and retry immediately.
-// accept(2) documents that errors of the network, of single connections and of the system's memory should be retried.
-// The event loop calls Accept again as long as a connection waits; after a repeated failure, Accept pauses.
+// or the system call fails. It never returns an error: accept(2) documents that errors of the network, of single
+// connections and of the system's memory should be retried. Serve calls Accept again as long as a connection waits;
+// after a repeated failure, Accept pauses.
 func (l *Listener) Accept() (net.Conn, error) {
 	l.mu.Lock()
 	fd, address, err := l.acceptDescriptor()
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, nil
 	}
-	conn := &acceptedConn{fd: fd, local: l.Addr(), remote: remoteAddr(address)}
+	conn := &acceptedConn{File: os.NewFile(uintptr(fd), "client connection"), local: l.Addr(), remote: remoteAddr(address)}
 	if _, isTCP := conn.remote.(*net.TCPAddr); isTCP {
 		_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
 	}
@@ -62,8 +62,7 @@
 
 // shedConnection closes the connection that has waited longest when the system has no descriptor left for it. It closes
 // the reserve descriptor, accepts the connection with the freed descriptor, closes the connection and opens the reserve
-// again. Otherwise the event loop would spin on a connection that it can't accept, or would have to stop accepting for
-// a while.
+// again. Otherwise Serve would spin on a connection that it can't accept, or would have to stop accepting for a while.
 //
 // The error is syscall.EAGAIN if the connection was closed. Any other error means that the reserve did not help, and
 // that another part of the process must free a descriptor first. The caller holds l.mu.
@@ -126,17 +125,12 @@
 	}
 }
 
-// acceptedConn passes a new connection's descriptor and addresses to netpoll, which reads and writes the descriptor
-// itself.
+// acceptedConn is an accepted connection. As a file with a non-blocking descriptor, it waits in the Go runtime's poller.
 type acceptedConn struct {
-	net.Conn
-	fd            int
+	*os.File
 	local, remote net.Addr
 }
 
-// Fd returns the connection's descriptor.
-func (c *acceptedConn) Fd() int { return c.fd }
-
 // LocalAddr implements net.Conn.
 func (c *acceptedConn) LocalAddr() net.Addr { return c.local }
 
--- a/internal/transport/listen/accept_test.go
+++ b/internal/transport/listen/accept_test.go
@@ -42,17 +42,17 @@
 	return l
 }
 
-// acceptWithin calls Accept up to calls times, as the event loop does, and returns the number of calls before the one
+// acceptWithin calls Accept up to calls times, as Serve does, and returns the number of calls before the one
 // that returned a connection.
 func (l *faultyListener) acceptWithin(t *testing.T, calls int) int {
 	t.Helper()
 	for call := range calls {
 		conn, err := l.Accept()
 		if err != nil {
-			t.Fatalf("call %d returned the error %v to the event loop", call, err)
+			t.Fatalf("call %d returned the error %v", call, err)
 		}
-		if accepted, ok := conn.(*acceptedConn); ok {
-			_ = syscall.Close(accepted.fd)
+		if conn != nil {
+			_ = conn.Close()
 			return call
 		}
 	}
--- a/internal/transport/listen/listen.go
+++ b/internal/transport/listen/listen.go
@@ -10,16 +10,16 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
-// Listener is a listening socket for netpoll's event loop that closes each descriptor once. netpoll's own listener
-// closes its descriptor twice within Close, and again on each further Close. If another goroutine has been given the
-// same descriptor number in between, it loses its connection.
+// Listener is a listening socket that goes on accepting connections when system calls fail. It closes each of its
+// descriptors once, after the last use of its number.
 type Listener struct {
 	net.Listener
-	file      *os.File // duplicate of the descriptor, which the event loop watches
+	file      *os.File // duplicate of the descriptor, on which connections are accepted
 	fd        int      // of file
+	accepting sync.WaitGroup
 	closeOnce sync.Once
 
 	accept4 accept4Func         // syscall.Accept4; tests replace it
@@ -44,7 +44,7 @@
 		_ = ln.Close()
 		return nil, fmt.Errorf("listen: no descriptor for a listener on %s", network)
 	}
-	file, err := filer.File()
+	file, err := filer.File() // non-blocking, like ln
 	if err != nil {
 		_ = ln.Close()
 		return nil, err
@@ -52,12 +52,11 @@
 	l := &Listener{
 		Listener: ln,
 		file:     file,
-		fd:       int(file.Fd()),
 		accept4:  syscall.Accept4,
 		sleep:    time.Sleep,
 		logger:   slog.New(slog.DiscardHandler),
 	}
-	if err := syscall.SetNonblock(l.fd, true); err != nil {
+	if l.fd, err = descriptorOf(file); err != nil {
 		_ = l.Close()
 		return nil, err
 	}
@@ -68,6 +67,16 @@
 	return l, nil
 }
 
+// descriptorOf returns the descriptor of a file. Unlike os.File.Fd, it leaves it non-blocking.
+func descriptorOf(file *os.File) (fd int, err error) {
+	rawConn, err := file.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	err = rawConn.Control(func(descriptor uintptr) { fd = int(descriptor) })
+	return fd, err
+}
+
 // SetLogger sets the logger for failures to accept connections. Without a logger they are not logged.
 func (l *Listener) SetLogger(logger *slog.Logger) {
 	l.mu.Lock()
@@ -75,29 +84,44 @@
 	l.logger = logger
 }
 
-// Serve starts an event loop on the listener, which runs until the loop's Shutdown. Serve returns when the loop has
-// requested the descriptor. From then on, a Shutdown of the loop before Close guarantees that the loop no longer uses
-// the descriptor when Close releases it.
-func (l *Listener) Serve(loop netpoll.EventLoop) {
-	served := &servedListener{Listener: l, fdRequested: make(chan struct{})}
-	go func() { _ = loop.Serve(served) }()
-	<-served.fdRequested
+// Serve accepts connections on a goroutine of its own until Close and passes each to handle, which owns it and must not
+// block. Serve must be called at most once.
+func (l *Listener) Serve(handle func(net.Conn)) error {
+	rawConn, err := l.file.SyscallConn()
+	if err != nil {
+		return err
+	}
+	l.accepting.Go(func() {
+		_ = rawConn.Read(func(uintptr) (done bool) { return l.acceptWaiting(handle) }) // fails when Close closes the file
+	})
+	return nil
 }
 
-// servedListener is a Listener that signals when its event loop requests the descriptor.
-type servedListener struct {
-	*Listener
-	fdRequested     chan struct{} // closed when the event loop has requested the descriptor
-	fdRequestedOnce sync.Once
+// acceptWaiting accepts connections until none is left. It reports whether the listener is closed.
+func (l *Listener) acceptWaiting(handle func(net.Conn)) (closed bool) {
+	for {
+		conn, _ := l.Accept()
+		if conn != nil {
+			handle(conn)
+			continue
+		}
+		if l.isClosed() {
+			return true
+		}
+		ready, err := Poll(l.fd, unix.POLLIN)
+		if err == nil && ready == 0 {
+			return false
+		}
+	}
 }
 
-// Fd returns the descriptor that the event loop watches, and unblocks Serve.
-func (l *servedListener) Fd() int {
-	l.fdRequestedOnce.Do(func() { close(l.fdRequested) })
-	return l.Listener.Fd()
+func (l *Listener) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
 }
 
-// Fd returns the descriptor that the event loop watches.
+// Fd returns the descriptor on which connections are accepted.
 func (l *Listener) Fd() int { return l.fd }
 
 // Shed returns the number of connections that were closed because no descriptor was left for them.
@@ -107,7 +131,7 @@
 	return l.shed
 }
 
-// Close closes the listener's descriptors. Further calls have no effect.
+// Close ends Serve and closes the listener's descriptors. Further calls have no effect.
 func (l *Listener) Close() (err error) {
 	l.closeOnce.Do(func() {
 		l.mu.Lock()
@@ -118,6 +142,7 @@
 		l.mu.Unlock()
 		fileErr := l.file.Close()
 		listenerErr := l.Listener.Close()
+		l.accepting.Wait()
 		err = cmp.Or(fileErr, listenerErr)
 	})
 	return err
--- a/internal/transport/listen/listen_test.go
+++ b/internal/transport/listen/listen_test.go
@@ -1,7 +1,6 @@
 package listen
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,8 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/internal/testsupport"
 )
 
@@ -24,18 +21,9 @@
 	if err != nil {
 		panic(err)
 	}
-	loop, err := netpoll.NewEventLoop(func(_ context.Context, nc netpoll.Connection) error {
-		p, err := nc.Reader().Next(nc.Reader().Len())
-		if err == nil {
-			_, err = nc.Write(append([]byte(nil), p...))
-		}
-		_ = nc.Reader().Release()
-		return err
-	})
-	if err != nil {
+	if err := ln.Serve(func(netConn net.Conn) { go echo(netConn) }); err != nil {
 		panic(err)
 	}
-	ln.Serve(loop)
 	open, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
 		panic(err)
@@ -52,6 +40,12 @@
 	os.Exit(0)
 }
 
+// echo sends back what a client sends until the client closes the connection.
+func echo(netConn net.Conn) {
+	_, _ = io.Copy(netConn, struct{ io.Reader }{netConn})
+	_ = netConn.Close()
+}
+
 func TestMain(m *testing.M) {
 	if os.Getenv("LISTEN_TEST_CHILD") != "" {
 		runServerProcess()
@@ -139,8 +133,8 @@
 	return shed, processorTime
 }
 
-// TestListenerWithoutFreeDescriptors guards against an event loop that spins or stops when the process has no
-// descriptor left. New connections must be closed immediately, established ones must be served, and new ones must be
+// TestListenerWithoutFreeDescriptors guards against a listener that spins or stops when the process has no descriptor
+// left. New connections must be closed immediately, established ones must be served, and new ones must be
 // served again after some have been closed.
 func TestListenerWithoutFreeDescriptors(t *testing.T) {
 	p := startServerProcess(t)
@@ -173,53 +167,73 @@
 	}
 }
 
-// slowEventLoop is an event loop that requests the listener's descriptor only after release is closed.
-type slowEventLoop struct {
-	netpoll.EventLoop
-	release chan struct{}
-	fd      chan int
-}
-
-func (l slowEventLoop) Serve(ln net.Listener) error {
-	<-l.release
-	withFd, ok := ln.(netpoll.Listener)
-	if !ok {
-		return errors.New("a listener without a descriptor")
-	}
-	l.fd <- withFd.Fd()
-	return nil
+// TestCloseRightAfterServe guards against a listener that is closed right after Serve and then accepts connections of
+// the next listener, which gets the same descriptor numbers.
+func TestCloseRightAfterServe(t *testing.T) {
+	serve := func(handle func(net.Conn)) *Listener {
+		t.Helper()
+		ln, err := Open("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := ln.Serve(handle); err != nil {
+			t.Fatal(err)
+		}
+		return ln
+	}
+	for range 100 {
+		closed := serve(func(netConn net.Conn) {
+			_ = netConn.Close()
+			t.Error("a closed listener accepted a connection of the next one")
+		})
+		number := closed.Fd()
+		_ = closed.Close()
+		accepted := make(chan net.Conn, 1)
+		ln := serve(func(netConn net.Conn) { accepted <- netConn })
+		if ln.Fd() != number {
+			t.Logf("the next listener has descriptor %d, not %d", ln.Fd(), number)
+		}
+		client, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = testsupport.Await(t, accepted, "the connection").Close()
+		_ = client.Close()
+		_ = ln.Close()
+	}
 }
 
-// TestServeWaitsForEventLoop guards against a Serve that returns before the event loop has requested the descriptor,
-// also if other code has called Fd before. After a Close at that moment the loop would watch a descriptor that may
-// belong to another listener.
-func TestServeWaitsForEventLoop(t *testing.T) {
-	for name, readBefore := range map[string]bool{"read before": true, "not read before": false} {
-		t.Run(name, func(t *testing.T) {
-			ln, err := Open("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = ln.Close() }()
-			if readBefore {
-				ln.Fd()
-			}
-			loop := slowEventLoop{release: make(chan struct{}), fd: make(chan int, 1)}
-			returned := make(chan struct{})
-			go func() {
-				ln.Serve(loop)
-				close(returned)
-			}()
-			select {
-			case <-returned:
-				t.Error("Serve returned before the event loop requested the descriptor")
-			case <-time.After(50 * time.Millisecond): // a shorter wait could miss a fault, but never fail correct code
-			}
-			close(loop.release)
-			testsupport.Await(t, returned, "the end of Serve")
-			if fd := testsupport.Await(t, loop.fd, "the event loop's descriptor"); fd != ln.Fd() {
-				t.Errorf("the event loop watches descriptor %d, want %d", fd, ln.Fd())
-			}
-		})
+// TestCloseWaitsForServe guards against a Close that returns while a connection is still being accepted, so that its
+// handler runs after the end of its server.
+func TestCloseWaitsForServe(t *testing.T) {
+	ln, err := Open("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handling, release := make(chan struct{}), make(chan struct{})
+	if err := ln.Serve(func(netConn net.Conn) {
+		_ = netConn.Close()
+		close(handling)
+		<-release
+	}); err != nil {
+		t.Fatal(err)
+	}
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
+	defer func() { _ = client.Close() }()
+	testsupport.Await(t, handling, "the handler")
+	closed := make(chan struct{})
+	go func() {
+		_ = ln.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		t.Error("Close returned while a connection was being handled")
+	case <-time.After(50 * time.Millisecond): // a shorter wait could miss a fault, but never fail correct code
+	}
+	close(release)
+	testsupport.Await(t, closed, "the end of Close")
 }
--- a/internal/upstream/errno_test.go
+++ b/internal/upstream/errno_test.go
@@ -1,14 +1,14 @@
 package upstream
 
 import (
+	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
 	"testing"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/dispatch"
 )
 
@@ -30,19 +30,19 @@
 		{"connect, a fault of the worker or of the way to it", Connect, dispatch.ConnectFailed, []error{
 			syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.ECONNABORTED, syscall.ETIMEDOUT, syscall.EHOSTUNREACH,
 			syscall.EACCES, syscall.EPERM, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EPROTO,
-			netpoll.ErrDialTimeout, netpoll.ErrConnClosed, timeout}},
+			os.ErrDeadlineExceeded, context.DeadlineExceeded, net.ErrClosed, timeout}},
 		{"send of a message that did not come whole", Send, dispatch.NotSent, []error{
 			syscall.EPIPE, syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENETDOWN,
 			syscall.EHOSTDOWN, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.EBADF, timeout}},
 		{"receive after a whole message", Receive, dispatch.ConnectionReset, []error{
 			syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EHOSTDOWN,
-			syscall.ENOBUFS, syscall.ENOMEM, netpoll.ErrEOF, timeout}},
+			syscall.ENOBUFS, syscall.ENOMEM, io.EOF, timeout}},
 	} {
 		for _, err := range test.errors {
 			for form, err := range map[string]error{
-				"bare":      err,
-				"net":       &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)},
-				"exception": netpoll.Exception(err, "when dial"),
+				"bare": err,
+				"net":  &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)},
+				"file": &os.PathError{Op: "write", Path: "client connection", Err: err},
 			} {
 				t.Run(test.name+"/"+err.Error()+"/"+form, func(t *testing.T) {
 					if got := EvidenceOf(test.call, err).Result(); got != test.result {
--- a/internal/upstream/respupstream/conn.go
+++ b/internal/upstream/respupstream/conn.go
@@ -3,19 +3,18 @@
 import (
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/dispatch"
 	"github.com/topazfront/topazfront/internal/transport/resp"
+	"github.com/topazfront/topazfront/internal/transport/socket"
 )
 
 // conn is one connection to a worker.
 type conn struct {
 	pool    *Pool
 	worker  *worker
-	netConn netpoll.Connection
-	reader  *resp.Reader // used only by netpoll's goroutine for this connection
-	socket  socket
+	netConn *socket.Conn
+	reader  *resp.Reader // used only by Received
+	writer  messageWriter
 
 	// Guarded by the pool's mutex.
 	queue           []*exchange          // not yet written, in order
@@ -110,10 +109,10 @@
 	c.close()
 }
 
-// onClosed is called by netpoll before it closes the descriptor. If the pool has not closed the connection, the
-// connection was lost: the worker closed it, its process ended, or the network failed.
-func (c *conn) onClosed() {
-	c.socket.markClosed()
+// Closed implements socket.Handler. If the pool has not closed the connection, the connection was lost: the worker
+// closed it, its process ended, or the network failed.
+func (c *conn) Closed() {
+	c.writer.markClosed()
 	if c.close() {
 		c.reportLost()
 	}
@@ -157,7 +156,7 @@
 	}
 	p.mu.Unlock()
 	runCallbacks(callbacks...)
-	_ = c.netConn.Close()
+	c.netConn.Close()
 	return true
 }
 
--- a/internal/upstream/respupstream/dial.go
+++ b/internal/upstream/respupstream/dial.go
@@ -1,13 +1,12 @@
 package respupstream
 
 import (
-	"context"
+	"net"
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"github.com/topazfront/topazfront/internal/transport/resp"
+	"github.com/topazfront/topazfront/internal/transport/socket"
 	"github.com/topazfront/topazfront/internal/upstream"
 )
 
@@ -17,17 +16,18 @@
 // dial connects to the worker and assigns waiting exchanges to the new connection. It runs on its own goroutine, for
 // the connect timeout at most.
 func (p *Pool) dial(w *worker) {
-	netConn, err := netpoll.NewDialer().DialConnection("tcp", w.addr, p.config.ConnectTimeout)
+	netConn, err := socket.Dial("tcp", w.addr, p.config.ConnectTimeout)
 	if err != nil {
 		p.dialFailed(w, err)
 		return
 	}
-	c := newConn(p, w, netConn)
-	_ = netConn.SetOnRequest(func(context.Context, netpoll.Connection) error { c.read(); return nil })
-	_ = netConn.AddCloseCallback(func(netpoll.Connection) error { c.onClosed(); return nil })
-	if !netConn.IsActive() { // closed before the callbacks were set, so netpoll has not called onClosed
-		c.onClosed()
+	c, err := newConn(p, w, netConn)
+	if err != nil {
+		_ = netConn.Close()
+		p.dialFailed(w, err)
+		return
 	}
+	c.netConn.Start()
 	p.addConn(c)
 }
 
@@ -80,14 +80,11 @@
 	p.config.Logger.Debug("connect failed", "endpoint", w.id, "error", err)
 }
 
-// newConn returns a connection that is not yet in the pool and has no callbacks set.
-func newConn(p *Pool, w *worker, netConn netpoll.Connection) *conn {
-	fd := netConn.(netpoll.Conn).Fd() // all connections from netpoll's dialer implement Conn
+// newConn returns a connection that takes over netConn. It is not yet in the pool and reads nothing yet.
+func newConn(p *Pool, w *worker, netConn net.Conn) (*conn, error) {
 	c := &conn{
-		socket:     socket{fd: fd, send: p.config.send},
 		pool:       p,
 		worker:     w,
-		netConn:    netConn,
 		reader:     resp.NewReader(resp.Limits{Items: maxResponseItems, Bytes: p.config.MaxResponseBytes}),
 		inFlight:   map[string]*exchange{},
 		usedIDs:    map[string]time.Duration{},
@@ -95,8 +92,13 @@
 		lastReadAt: time.Now(),
 		lastUsedAt: time.Now(),
 	}
+	var err error
+	if c.netConn, err = socket.New(netConn, c, 0); err != nil {
+		return nil, err
+	}
+	c.writer = messageWriter{fd: c.netConn.Fd(), send: p.config.send}
 	if p.config.ReceiveBuffer > 0 {
-		_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, p.config.ReceiveBuffer)
+		_ = syscall.SetsockoptInt(c.netConn.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, p.config.ReceiveBuffer)
 	}
-	return c
+	return c, nil
 }
--- a/internal/upstream/respupstream/doc.go
+++ b/internal/upstream/respupstream/doc.go
@@ -10,7 +10,7 @@
 // callback runs while the mutex is held: functions that need the lock return callbacks, which their callers run after
 // unlocking.
 //
-// A Pool is used by these goroutines: the router's loop, which calls the methods of router.Upstream; netpoll's
-// goroutines, when bytes arrive or a connection ends; one goroutine per connect; one per connection that is being
+// A Pool is used by these goroutines: the router's loop, which calls the methods of router.Upstream; one
+// goroutine per connection, which reads it (package socket); one goroutine per connect; one per connection that is being
 // written to; and the sweep.
 package respupstream
--- a/internal/upstream/respupstream/socket.go
+++ b/internal/upstream/respupstream/messagewriter.go
@@ -16,9 +16,9 @@
 // sendmsg is the sendFunc that makes the system call.
 func sendmsg(fd int, p []byte) (int, error) { return unix.SendmsgN(fd, p, nil, nil, 0) }
 
-// socket is the writing side of a connection. netpoll reads from the descriptor and closes it. netpoll's own Write is
-// not used, because it does not return how many bytes of a message the system accepted before an error.
-type socket struct {
+// messageWriter is the writing side of a connection. Package socket reads from the descriptor and closes it. Its Write is
+// not used, because the exchange has to be checked again between two system calls of one message.
+type messageWriter struct {
 	send sendFunc
 
 	mu     sync.Mutex // held during system calls, which don't block, so that fd stays open during them
@@ -28,13 +28,13 @@
 
 // write makes one non-blocking write. The error is unix.EAGAIN if the system accepts no byte now, and net.ErrClosed
 // after markClosed.
-func (s *socket) write(p []byte) (accepted int, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
+func (w *messageWriter) write(p []byte) (accepted int, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
 		return 0, net.ErrClosed
 	}
-	accepted, err = s.send(s.fd, p)
+	accepted, err = w.send(w.fd, p)
 	switch {
 	case err != nil:
 		return 0, err
@@ -46,19 +46,19 @@
 }
 
 // writable reports whether a write would not block. It also returns true if a write would fail.
-func (s *socket) writable() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
+func (w *messageWriter) writable() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
 		return true
 	}
-	ready, err := listen.Poll(s.fd, unix.POLLOUT)
+	ready, err := listen.Poll(w.fd, unix.POLLOUT)
 	return err != nil || ready != 0
 }
 
-// markClosed makes later writes fail. It must be called before netpoll closes the descriptor.
-func (s *socket) markClosed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
+// markClosed makes later writes fail. It must be called before the descriptor is closed.
+func (w *messageWriter) markClosed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
 }
--- a/internal/upstream/respupstream/pool.go
+++ b/internal/upstream/respupstream/pool.go
@@ -45,10 +45,9 @@
 // Stats is a snapshot of the pool, with counters since it was created.
 type Stats struct {
 	// Current values.
-	Conns      int
-	InFlight   int // exchanges written without a response so far
-	Queued     int // exchanges queued on a connection and not yet written
-	InputBytes int // received and not handled yet, before the response readers
+	Conns    int
+	InFlight int // exchanges written without a response so far
+	Queued   int // exchanges queued on a connection and not yet written
 
 	// Counters since the pool was created.
 	Written           uint64 // exchanges whose write has started
@@ -109,7 +108,6 @@
 	for c := range p.conns {
 		s.InFlight += len(c.inFlight)
 		s.Queued += len(c.queue)
-		s.InputBytes += c.netConn.Reader().Len()
 	}
 	return s
 }
--- a/internal/upstream/respupstream/read.go
+++ b/internal/upstream/respupstream/read.go
@@ -2,40 +2,22 @@
 
 import "time"
 
-// read processes the bytes that have arrived. netpoll does not call it concurrently for one connection. A panic
-// closes only this connection.
-func (c *conn) read() {
+// Received implements socket.Handler. It handles the complete responses in the input. A panic closes only this
+// connection.
+func (c *conn) Received(input []byte) {
 	defer func() {
 		if panicValue := recover(); panicValue != nil {
 			c.pool.config.Logger.Error("panic while reading from worker", "endpoint", c.worker.id, "panic", panicValue)
 			c.fail("panic")
 		}
 	}()
-	r := c.netConn.Reader()
-	for available := r.Len(); available > 0; available = r.Len() {
-		if available > c.pool.config.MaxResponseBytes {
-			available = c.pool.config.MaxResponseBytes
-		}
-		chunk, err := r.Next(available)
-		if err == nil {
-			err = c.reader.Feed(chunk, c.handleResponse)
-		}
-		_ = r.Release()
-		c.pool.mu.Lock()
-		c.lastReadAt = time.Now()
-		c.partialResponse = c.reader.Partial()
-		closed := c.closed
-		c.pool.mu.Unlock()
-		if err != nil {
-			c.fail(err.Error())
-			return
-		}
-		if closed {
-			_ = r.Skip(r.Len())
-			_ = r.Release()
-			_ = c.netConn.Close()
-			return
-		}
+	err := c.reader.Feed(input, c.handleResponse)
+	c.pool.mu.Lock()
+	c.lastReadAt = time.Now()
+	c.partialResponse = c.reader.Partial()
+	c.pool.mu.Unlock()
+	if err != nil {
+		c.fail(err.Error())
 	}
 }
 
--- a/internal/upstream/respupstream/write.go
+++ b/internal/upstream/respupstream/write.go
@@ -33,7 +33,7 @@
 // in the message are current then. It reports whether writeLoop continues.
 func (c *conn) writeNext() bool {
 	p := c.pool
-	writable := c.socket.writable() // makes a system call, so it is called without the lock
+	writable := c.writer.writable() // makes a system call, so it is called without the lock
 	p.mu.Lock()
 	if c.closed || len(c.queue) == 0 {
 		drained := c.stopWriting()
@@ -92,7 +92,7 @@
 // writeMessage writes the message of an exchange that is marked as in flight. It reports whether writeLoop continues.
 func (c *conn) writeMessage(x *exchange, message []byte, startedAt time.Time) bool {
 	for rest := message; len(rest) > 0; {
-		accepted, err := c.socket.write(rest)
+		accepted, err := c.writer.write(rest)
 		rest = rest[accepted:]
 		switch {
 		case err == nil: // after a short write, the rest is tried at once
