httprouter: incomplete requests and responses of all peers together have a limit, by memory_mb

Each connection to a client holds up to 32 KB and a body of 16 KB, each to a worker a response of 64 KB; with the descriptors that a configuration may allow, that is more than a small memory_mb, and nothing counted it.

Ruled out: fewer connections, which sound clients would pay for (they hold up to a third of the descriptors); a pause of all reading at the limit, where incomplete requests would wait for each other.

The client with which the limit is exceeded gets 503, as nothing was forwarded; the worker's connection is closed, and its attempts may have run.

Result: TestInputOfAllClientsIsLimited and TestIncompleteResponsesOfAllWorkersAreLimited pass (there was no such limit before).

--- a/internal/httprouter/server.go
+++ b/internal/httprouter/server.go
@@ -95,6 +95,7 @@
 		MaxConns:           budget.WorkerConns,
 		MaxRequestsPerConn: limits.RequestsPerConn,
 		MaxResponseBytes:   maxWorkerResponseBytes,
+		MaxInputBytes:      budget.InputBytes,
 		ReceiveBuffer:      budget.SocketBufferBytes,
 		Logger:             s.logger,
 	})
@@ -156,6 +157,7 @@
 		IdleTimeout:        clientIdleTimeout,
 		WriteTimeout:       writeTimeout,
 		ReceiveBufferBytes: budget.SocketBufferBytes,
+		MaxInputBytes:      budget.InputBytes,
 		Logger:             s.logger,
 	}, s.router)
 	return err
--- a/internal/server/httpserver/close.go
+++ b/internal/server/httpserver/close.go
@@ -153,6 +153,7 @@
 	responseOwed := c.requestInFlight || c.rejectsFirstRequest
 	c.responding = true
 	leftInput := c.leftInput
+	c.releaseInput()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
 	submitted := c.cancelCall()
--- a/internal/server/httpserver/conn.go
+++ b/internal/server/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"sync"
@@ -32,6 +33,8 @@
 	requestCount    uint64 // complete requests so far
 	requestID       string // the connection's entry in the server's openIDs; empty: none
 	cancel          func() // cancels the call in flight; nil: there is none
+	inputBytes      int    // that the connection holds; see accountInput
+	bodyBytes       int    // of these, the body of the request in flight
 
 	// The response.
 	responded          bool // a response has been written
@@ -142,6 +145,8 @@
 func (c *conn) serveNext() {
 	m, arrived, err := c.nextRequest()
 	switch {
+	case err != nil && c.isRequestInFlight():
+		c.abort() // too much input after a request in flight
 	case err != nil:
 		c.rejectConnection(statusOf(err), err.Error())
 	case m != nil:
@@ -149,6 +154,12 @@
 	}
 }
 
+func (c *conn) isRequestInFlight() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.requestInFlight
+}
+
 // statusOf returns the status of the response to input for which the parser returned err.
 func statusOf(err error) int {
 	var httpErr *http1.Error
@@ -165,17 +176,17 @@
 	c.parseMu.Lock()
 	defer c.parseMu.Unlock()
 	c.server.mu.Lock()
-	idle := !c.requestInFlight && !c.closed
-	c.server.mu.Unlock()
-	if !idle {
-		return nil, time.Time{}, nil
+	defer c.server.mu.Unlock()
+	if c.requestInFlight || c.closed {
+		return nil, time.Time{}, c.accountInput(c.bodyBytes)
 	}
 	m, err = c.reader.Next()
 	partial := c.reader.Partial()
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
 	if m == nil {
 		c.markRequestIncomplete(partial)
+		return nil, time.Time{}, cmp.Or(err, c.accountInput(0))
+	}
+	if err := c.accountInput(len(m.Body)); err != nil {
 		return nil, time.Time{}, err
 	}
 	c.requestStarted = false
--- a/internal/server/httpserver/flood_test.go
+++ b/internal/server/httpserver/flood_test.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/topazfront/topazfront/internal/testsupport"
@@ -32,3 +33,32 @@
 		})
 	}
 }
+
+// TestInputOfAllClientsIsLimited guards against clients that fill the memory together, each within the limits of one
+// request: some of them get 503, and the others are served.
+func TestInputOfAllClientsIsLimited(t *testing.T) {
+	const limit, clients = 4 << 10, 16
+	s, _ := startServer(t, func(c *Config) { c.MaxInputBytes = limit })
+	request := newRequest(servedFunction, strings.Repeat("x", 512))
+	var stalled []*client
+	for range clients {
+		cl := dial(t, s)
+		cl.send(request[:len(request)-1])
+		stalled = append(stalled, cl)
+	}
+	testsupport.WaitUntil(t, "a rejection", func() bool { return s.Stats().InputRejected > 0 })
+	testsupport.WaitUntil(t, "all clients are read", func() bool { return s.Stats().InputBytes <= limit })
+	statuses := map[int]int{}
+	for _, cl := range stalled { // one after the other, because their requests have the same id
+		cl.send(request[len(request)-1:])
+		statuses[cl.readResponse().status]++
+		_ = cl.netConn.Close()
+	}
+	if statuses[200] == 0 || statuses[503] == 0 || statuses[200]+statuses[503] != clients {
+		t.Errorf("responses by status: %v, want some 200, some 503 and no other", statuses)
+	}
+	testsupport.WaitUntil(t, "no input is held", func() bool { return s.Stats().InputBytes == 0 })
+	last := dial(t, s)
+	last.send(request)
+	last.expectStatus(200)
+}
--- a/internal/server/httpserver/response.go
+++ b/internal/server/httpserver/response.go
@@ -66,6 +66,9 @@
 func (c *conn) responseWritten(err error, closing bool) {
 	c.server.mu.Lock()
 	c.requestInFlight = false
+	c.server.inputBytes -= c.bodyBytes
+	c.inputBytes -= c.bodyBytes
+	c.bodyBytes = 0
 	c.responded = true
 	c.lastActivity = time.Now()
 	if err != nil || closing {
--- a/internal/server/httpserver/server.go
+++ b/internal/server/httpserver/server.go
@@ -22,6 +22,7 @@
 	IdleTimeout        time.Duration // a connection without a request is closed after this time
 	WriteTimeout       time.Duration // for a client to accept its response
 	ReceiveBufferBytes int           // socket receive buffer of each connection; 0: the system's default
+	MaxInputBytes      int           // that all connections hold together: incomplete requests, and bodies in flight; 0: no limit
 	Logger             *slog.Logger  // nil: nothing is logged
 
 	// RequestTimeout limits the time until a request is complete. For the first request of a connection it starts when
@@ -45,6 +46,8 @@
 	openIDs map[string]struct{} // request IDs that the router has not answered
 	closed  bool
 	stats   Stats
+
+	inputBytes int // held by all connections; see accountInput
 }
 
 // Stats counts connections and requests.
@@ -54,6 +57,9 @@
 	Accepted     uint64 // connections so far
 	BadRequests  uint64 // rejected so far by this server
 	Evicted      uint64 // connections closed or rejected so far because there were too many
+
+	InputBytes    int    // of requests, held now
+	InputRejected uint64 // times that input was rejected because all connections together held too much
 }
 
 // Listen opens the listener and serves connections in the background until Close.
@@ -109,5 +115,6 @@
 	stats := s.stats
 	stats.Connections = len(s.conns)
 	stats.OpenRequests = len(s.openIDs)
+	stats.InputBytes = s.inputBytes
 	return stats
 }
--- a/internal/transport/http1/reader.go
+++ b/internal/transport/http1/reader.go
@@ -66,6 +66,9 @@
 // Partial reports whether a part of the next message has been received.
 func (r *Reader) Partial() bool { return len(r.buf) > 0 || r.head != nil }
 
+// Buffered returns how many bytes of incomplete or unread messages the reader holds.
+func (r *Reader) Buffered() int { return len(r.buf) + len(r.body) }
+
 // Add appends a copy of p to the input. It returns ErrPendingLimit if p is longer than Available.
 func (r *Reader) Add(p []byte) error {
 	if len(p) > r.Available() {
--- a/internal/transport/resp/resp.go
+++ b/internal/transport/resp/resp.go
@@ -36,6 +36,9 @@
 // Partial reports whether the bytes read so far end within a message.
 func (r *Reader) Partial() bool { return len(r.buffer) > 0 }
 
+// Buffered returns how many bytes of an incomplete message the reader holds.
+func (r *Reader) Buffered() int { return len(r.buffer) }
+
 // Feed parses the next bytes of the stream and calls handle with the items of each complete message. The items are
 // valid until handle returns; Feed does not retain p. If handle returns an error, Feed stops and returns that error.
 func (r *Reader) Feed(p []byte, handle func(items [][]byte) error) error {
--- a/internal/upstream/respupstream/conn.go
+++ b/internal/upstream/respupstream/conn.go
@@ -21,6 +21,7 @@
 	inFlight        map[string]*exchange // written without a response so far, by id
 	writing         bool                 // a goroutine is running writeLoop
 	partialResponse bool                 // the bytes read so far end within a response
+	inputBytes      int                  // of that response
 	draining        bool                 // accepts no new exchanges; closed once nothing is outstanding
 	closed          bool
 	openedAt        time.Time
@@ -143,6 +144,7 @@
 	c.closed = true
 	c.drain()
 	delete(p.conns, c)
+	c.accountInput(0)
 	unwritten := c.queue
 	c.queue = nil
 	for _, x := range c.inFlight {
--- a/internal/upstream/respupstream/flood_test.go
+++ b/internal/upstream/respupstream/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,3 +41,20 @@
 	defer h.pool.mu.Unlock()
 	return testsupport.Flood(h.t, conn, message)
 }
+
+// TestIncompleteResponsesOfAllWorkersAreLimited guards against workers that fill the memory together, each with the
+// beginning of a response within the limit of one. The connection that exceeds the limit ends, and its attempt may have
+// run.
+func TestIncompleteResponsesOfAllWorkersAreLimited(t *testing.T) {
+	const limit = 2 << 10
+	response := fakeplatform.EncodeMessage("0000000000000001", "ok", "-", strings.Repeat("x", limit))
+	w := &fakeplatform.Worker{ID: "w", Handle: func(r fakeplatform.Request) { r.Conn.WriteRaw(response[:len(response)-1]) }}
+	h := newHarness(t, func(c *Config) { c.MaxInputBytes = limit }, &scriptedDispatcher{attemptWorkers: []string{"w"}}, w)
+	h.submit(15 * time.Second)
+	if ended := testsupport.Await(t, h.dispatcher.outcomes, "the outcome"); ended.Result != dispatch.ConnectionReset {
+		t.Errorf("result %v, want %v", ended.Result, dispatch.ConnectionReset)
+	}
+	if held := h.pool.Stats().InputBytes; held != 0 {
+		t.Errorf("%d bytes held after the connection has ended", held)
+	}
+}
--- a/internal/upstream/respupstream/pool.go
+++ b/internal/upstream/respupstream/pool.go
@@ -19,6 +19,7 @@
 	MaxConns           int           // to all workers together
 	MaxRequestsPerConn int           // in flight or queued
 	MaxResponseBytes   int           // total size of all items of a response
+	MaxInputBytes      int           // of incomplete responses, that all connections hold together; 0 means no limit
 	ReceiveBuffer      int           // size of the socket's receive buffer in bytes; 0 means the system's default
 	Logger             *slog.Logger  // nil disables logging
 
@@ -37,6 +38,7 @@
 	waitingWorkers map[*worker]struct{} // all workers with waiting exchanges; the sweep removes the others
 	connecting     int                  // connects in progress, to all workers
 	lastControlID  uint64               // number in the id of the latest load command or health check
+	inputBytes     int                  // of incomplete responses, held by all connections
 	closed         bool
 	stop           chan struct{} // closed by Close; ends the sweep goroutine
 	stats          Stats
@@ -49,6 +51,8 @@
 	InFlight int // exchanges written without a response so far
 	Queued   int // exchanges queued on a connection and not yet written
 
+	InputBytes int // of incomplete responses, held now
+
 	// Counters since the pool was created.
 	Written           uint64 // exchanges whose write has started
 	Answered          uint64 // exchanges that received a response
@@ -105,6 +109,7 @@
 	defer p.mu.Unlock()
 	s := p.stats
 	s.Conns = len(p.conns)
+	s.InputBytes = p.inputBytes
 	for c := range p.conns {
 		s.InFlight += len(c.inFlight)
 		s.Queued += len(c.queue)
--- a/internal/upstream/respupstream/read.go
+++ b/internal/upstream/respupstream/read.go
@@ -1,6 +1,13 @@
 package respupstream
 
-import "time"
+import (
+	"errors"
+	"time"
+)
+
+// errInputBudget is the reason for closing a connection with which all incomplete responses together exceed
+// Config.MaxInputBytes.
+var errInputBudget = errors.New("respupstream: the incomplete responses of all workers exceed their limit")
 
 // Received implements socket.Handler. It handles the complete responses in the input. A panic closes only this
 // connection.
@@ -15,12 +22,28 @@
 	c.pool.mu.Lock()
 	c.lastReadAt = time.Now()
 	c.partialResponse = c.reader.Partial()
+	if !c.accountInput(c.reader.Buffered()) && err == nil {
+		err = errInputBudget
+	}
 	c.pool.mu.Unlock()
 	if err != nil {
 		c.fail(err.Error())
 	}
 }
 
+// accountInput updates how much input the connection holds, and reports whether all connections together stay within
+// their limit. The lock is held.
+func (c *conn) accountInput(held int) (withinLimit bool) {
+	if c.closed {
+		held = 0
+	}
+	p := c.pool
+	grows := held > c.inputBytes
+	p.inputBytes += held - c.inputBytes
+	c.inputBytes = held
+	return !grows || p.config.MaxInputBytes == 0 || p.inputBytes <= p.config.MaxInputBytes
+}
+
 // handleResponse ends the exchange that a complete response belongs to. A response with an id that is not in flight
 // on this connection is ignored: it is late, a duplicate, or for an unknown id.
 func (c *conn) handleResponse(items [][]byte) error {
