dispatch: a keyed request is repeated only where connections or the list prove the process

A server dies while the command channel is silent and one of another cell takes its address; the router sends calls there as to the listed one, gets errors, and repeats in the cell of the list.

Cause: the dispatcher takes the address for the process. Once the list is out of date, a health check or a response from that address renews the lease of the listed worker, and repeatAllowed compares the cells of the old list.

Ruled out, by the case's record and the routers' logs: a second copy sent early (each repeat follows the error by under 2 ms); a list that is believed to be current ("endpoint list out of date" 1.9 s after the last confirmation, all repeats later); the window of 6 s; a connection kept over the death (it is reset). No answer of the protocol names a process, so no health check can prove one.

Change: the evidence is the connection. One that was opened before the list was last confirmed leads to the process that was listed. Each end of an attempt tells when its connection was opened (ConnectedAt); a repeat outside a current list asks for such a connection (ConnectedBefore), and the upstreams send it on no other. The list counts for this only until a change that it does not show may be notified, without the drain grace, and also where the settings give none. An attempt keeps the zone and cell of its worker from its start. What can't be repeated fails at once, with the cause identity_unproven. At debug level "attempt ended" has the result, connected_at and the age of the list. Where repeats are dropped everywhere, and while the list is current, nothing changes.

--- a/dispatch/actions.go
+++ b/dispatch/actions.go
@@ -13,6 +13,9 @@
 	// SendBefore is the time, on the clock of Step, before which the first byte has to be written. Otherwise the attempt
 	// is not sent and ends with the result NotSent. 0 means no limit.
 	SendBefore time.Duration
+	// ConnectedBefore is the time, on the clock of Step, by which the connection has to have been opened. If there is no
+	// such connection, the attempt is not sent and ends with the result NotSent. 0 means any connection.
+	ConnectedBefore time.Duration
 }
 
 // CancelAttempt cancels one attempt. Its AttemptEnded still follows.
--- a/dispatch/attemptrules.go
+++ b/dispatch/attemptrules.go
@@ -40,7 +40,11 @@
 	case Idempotent:
 		return true
 	case IdempotentByKey:
-		sameScope := r.class.DeduplicationScope.covers(a.worker.Endpoint, w.Endpoint)
+		scope := r.class.DeduplicationScope
+		if scope != ScopeAll && !d.identityProven(a) {
+			return false
+		}
+		sameScope := scope.covers(a.identity.endpoint, w.identity.endpoint) && d.mayReachListedProcess(r, w)
 		return sameScope && d.now-a.startedAt < r.class.DeduplicationWindow
 	case NonIdempotent:
 		return false
@@ -65,11 +69,22 @@
 		return CauseMayHaveRun
 	case r.inFlight > 0 || d.mayRepeatOnAnyWorker(r):
 		return CauseNone
+	case d.ranInUnprovenProcess(r):
+		return CauseIdentityUnproven
 	default:
 		return CauseMayHaveRun
 	}
 }
 
+// ranInUnprovenProcess reports whether the deduplication scope of a request is unknown, because an attempt
+// may have run in another process than the one that the endpoint list names.
+func (d *Dispatcher) ranInUnprovenProcess(r *request) bool {
+	if r.class.Idempotency != IdempotentByKey || r.class.DeduplicationScope == ScopeAll {
+		return false
+	}
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun && !d.identityProven(a) })
+}
+
 // isOverRetryBudget reports whether the next attempt of a request would be a retry that the budget does not
 // allow. The budget grows only with responses. So retries do not multiply the load when many workers reject
 // requests at the same time because of an overload, a lack of memory or a stalled store. False positives: a
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -18,7 +18,7 @@
 		d.retryBudget--
 	}
 	w.slowStartTokens -= r.class.meanWork
-	d.emit(StartAttempt{ID: r.ID, Worker: w.ID, SendBefore: d.sendBefore(w)})
+	d.emit(StartAttempt{ID: r.ID, Worker: w.ID, SendBefore: d.sendBefore(w), ConnectedBefore: a.connectedBefore})
 }
 
 // newAttempt returns an attempt with its expected duration and its weight.
@@ -26,6 +26,8 @@
 	a := &attempt{
 		request:          r,
 		worker:           w,
+		identity:         w.identity,
+		connectedBefore:  d.connectedBefore(r),
 		number:           len(r.attempts),
 		concurrent:       len(w.attempts),
 		startedAt:        d.now,
@@ -74,6 +76,10 @@
 		e.Duration = a.firstMessageAfter // without the time in which the client read the stream
 	}
 	a.mayHaveRun = !e.Result.provesNotRun()
+	a.connectedAt = e.ConnectedAt
+	if e.Result == NotSent && a.connectedBefore > 0 {
+		a.worker.notConnectedBefore = a.connectedBefore
+	}
 	a.failed = e.Result != OK && e.Result != NotResident && e.Result != NotSent
 	d.recordAttemptEnd(a, e)
 	switch {
--- a/dispatch/causes.go
+++ b/dispatch/causes.go
@@ -14,6 +14,7 @@
 	CauseLoadTooLate                // the load that it would have to wait for ends too late
 	CauseOverload                   // no worker is available, and it will miss its latency objective
 	CauseNoLease                    // the endpoint list is out of date, and no worker holds a lease
+	CauseIdentityUnproven           // it may have run in another process than the one that the endpoint list names
 	endCauseCount
 )
 
@@ -31,6 +32,7 @@
 	CauseLoadTooLate:       "load_too_late",
 	CauseOverload:          "overload",
 	CauseNoLease:           "no_lease",
+	CauseIdentityUnproven:  "identity_unproven",
 }
 
 func (c EndCause) String() string { return endCauseNames[c] }
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -35,6 +35,10 @@
 	} else if e.StartedAt > w.StartedAt {
 		d.resetWorker(w)
 	}
+	d.identify(w, e)
+	if e.State == EndpointRemoved {
+		d.endIdentity(w)
+	}
 	w.Endpoint = e
 	w.memoryMB = d.memoryByKind[e.Kind]
 	w.listedInUpdate = d.endpointUpdateCount
@@ -51,6 +55,7 @@
 	for _, w := range d.workers {
 		if w.listedInUpdate != d.endpointUpdateCount {
 			w.State = EndpointRemoved
+			d.endIdentity(w)
 			d.queueStateChange(w)
 		}
 	}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -110,7 +110,8 @@
 	Worker           string
 	Result           Result
 	Duration         time.Duration
-	Final            bool // the request has its final answer
+	Final            bool          // the request has its final answer
+	ConnectedAt      time.Duration // when the connection that carried the attempt was opened; 0 means unknown, or none
 	CacheStatus      CacheStatus
 	FunctionInFlight int // requests of the function that the worker held; -1 means unknown
 	LoadReport       LoadReport
--- a/dispatch/listfreshness.go
+++ b/dispatch/listfreshness.go
@@ -22,15 +22,21 @@
 	forever         = time.Duration(math.MaxInt64)
 )
 
-// listLeaseEnd returns the end of the lease that the endpoint list gives to its active workers. If the list
-// is lost, the platform regards the router as notified of all changes after lossNotificationDelay, or as soon
-// as the list is requested again. If the process was paused, a change may have been notified at any time
-// since the list was confirmed.
+// listLeaseEnd returns the end of the lease that the endpoint list gives to its active workers: the drain
+// grace after the router may count as notified of a change that the list does not show.
 func (d *Dispatcher) listLeaseEnd() time.Duration {
-	list := &d.list
-	if !list.tracked {
+	if !d.list.tracked {
 		return forever
 	}
+	return d.nextNotificationAt() + d.leaseDuration()
+}
+
+// nextNotificationAt returns when the router may count as notified of a change that the list does not show.
+// If the list is lost, the platform regards the router as notified of all changes after
+// lossNotificationDelay, or as soon as the list is requested again. If the process was paused, a change may
+// have been notified at any time since the list was confirmed.
+func (d *Dispatcher) nextNotificationAt() time.Duration {
+	list := &d.list
 	notifiedAt := list.confirmedAt + lossNotificationDelay
 	if len(list.requestedAt) > 0 {
 		notifiedAt = min(notifiedAt, list.requestedAt[0])
@@ -38,7 +44,13 @@
 	if list.pausedUntil > list.confirmedAt {
 		notifiedAt = list.confirmedAt
 	}
-	return notifiedAt + d.leaseDuration()
+	return notifiedAt
+}
+
+// listShowsNotifiedChanges reports whether the list shows all changes that the router may count as notified
+// of.
+func (d *Dispatcher) listShowsNotifiedChanges() bool {
+	return !d.list.confirmed || d.now < d.nextNotificationAt()
 }
 
 // listIsCurrent reports whether the endpoint list is recent enough to rely on.
@@ -48,6 +60,7 @@
 // list up to that time. If the settings have no drain grace, no rule on drains applies and the list is
 // always current.
 func (d *Dispatcher) confirmList(e EndpointListConfirmed) {
+	d.list.confirmed = true
 	d.list.tracked = d.settings.DrainGrace > 0
 	d.list.confirmedAt = max(d.list.confirmedAt, min(e.At, d.now))
 	isAnswered := func(at time.Duration) bool { return at <= d.list.confirmedAt }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -36,8 +36,11 @@
 type attempt struct {
 	request           *request
 	worker            *worker
-	number            int // from 0
-	concurrent        int // attempts of this router in flight at the worker when this one was started
+	identity          *workerIdentity // of the worker when the attempt was started
+	connectedBefore   time.Duration   // see StartAttempt.ConnectedBefore
+	connectedAt       time.Duration   // when the connection that carried it was opened; 0 means unknown
+	number            int             // from 0
+	concurrent        int             // attempts of this router in flight at the worker when this one was started
 	startedAt         time.Duration
 	expectedSeconds   float64
 	expectedResident  bool    // the worker was expected to hold the function
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -65,6 +65,7 @@
 
 // endpointList tracks how current the endpoint list is.
 type endpointList struct {
+	confirmed   bool            // the caller confirms the list
 	tracked     bool            // the caller confirms the list, and the settings have a drain grace
 	confirmedAt time.Duration   // the list contained all changes up to this time
 	requestedAt []time.Duration // requests for the list after confirmedAt, the oldest first
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -30,6 +30,9 @@
 
 	lease workerLease
 
+	identity           *workerIdentity
+	notConnectedBefore time.Duration // no connection to it was opened before this time; 0 means unknown
+
 	attempts          []*attempt // of this router, in flight, oldest first
 	inFlight          float64    // sum of the weights of the attempts that count against the limit
 	concurrencyLimit  float64    // limit of inFlight
@@ -67,6 +70,8 @@
 	fresh.inFlight = w.inFlight
 	fresh.active = w.active
 	fresh.lastResponseAt = d.now
+	fresh.identity = w.identity
+	fresh.notConnectedBefore = w.notConnectedBefore
 	*w = *fresh
 }
 
--- a/internal/fake/fakeplatform/worker.go
+++ b/internal/fake/fakeplatform/worker.go
@@ -304,6 +304,13 @@
 	r.Conn.WriteMessage(r.ID, "ok", fmt.Sprintf("company=%d,meter=inflight:%d;util:0.5", others, total), "done "+r.Body)
 }
 
+// RunAndFail runs a request like a healthy worker and answers it with an error, so that it may have run.
+func (w *Worker) RunAndFail(r Request) {
+	w.RecordExecution(r)
+	time.Sleep(w.WorkDuration)
+	r.Conn.WriteMessage(r.ID, "error", "-", "")
+}
+
 // RecordExecution records that a request runs, unless it repeats an idempotency key of the deduplicated class.
 func (w *Worker) RecordExecution(r Request) {
 	isNew := w.keys.add(r.Fields[idempotencyKeyField])
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -26,7 +26,11 @@
 		r.endAttempt(a, AttemptResult{Result: dispatch.NotSent, Report: NoWorkerReport})
 		return
 	}
-	r.sendAttempt(a, endsAt, SendLimits{Remaining: remaining, SendBefore: r.timeAt(action.SendBefore)})
+	r.sendAttempt(a, endsAt, SendLimits{
+		Remaining:       remaining,
+		SendBefore:      r.timeAt(action.SendBefore),
+		ConnectedBefore: r.timeAt(action.ConnectedBefore),
+	})
 }
 
 // reportUnknownCall reports to the dispatcher that an attempt was not sent because its call has ended.
@@ -115,6 +119,11 @@
 	answered := done && !wasDone
 	r.countEndedAttempt(a, result.Result, answered)
 	r.recordAlive(a.worker, result.Result)
+	if r.debug {
+		r.cfg.Logger.Debug("attempt ended", "call", call.id, "client_id", call.submitted.ClientID, "attempt", a.number,
+			"endpoint", a.worker, "result", result.Result.String(), "connected_at", result.ConnectedAt,
+			"list_age_ms", (r.turnTime - r.listConfirmedAt).Milliseconds())
+	}
 	r.events = append(r.events, dispatch.AttemptEnded{
 		ID:               call.id,
 		Attempt:          a.number,
@@ -122,6 +131,7 @@
 		Result:           result.Result,
 		Duration:         r.turnTime - a.startedAt,
 		Final:            done,
+		ConnectedAt:      r.timeOf(result.ConnectedAt),
 		CacheStatus:      result.Report.CacheStatus,
 		FunctionInFlight: result.Report.FunctionInFlight,
 		LoadReport:       result.Report.LoadReport,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -139,6 +139,14 @@
 	return r.startedAt.Add(at - epoch)
 }
 
+// timeOf returns the time on the router's clock. The zero time.Time becomes 0.
+func (r *Router) timeOf(moment time.Time) time.Duration {
+	if moment.IsZero() {
+		return 0
+	}
+	return epoch + moment.Sub(r.startedAt)
+}
+
 // post queues f for the loop. It returns false if the loop accepts no more work; f is then never run.
 func (r *Router) post(f func()) bool {
 	r.mu.Lock()
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -24,10 +24,14 @@
 	UpdateEndpoints(changed []endpoints.Worker)
 }
 
-// SendLimits holds the time limits of an attempt or load command.
+// SendLimits holds the limits of an attempt or load command.
 type SendLimits struct {
 	Remaining  time.Duration // time until the attempt or load command times out
 	SendBefore time.Time     // the first byte must be written before, else the result is NotSent; zero means no limit
+
+	// ConnectedBefore is when the connection must have been opened at the latest, else the result is NotSent; zero means
+	// no limit. It applies to attempts.
+	ConnectedBefore time.Time
 }
 
 // Expired reports whether it is too late to write the first byte.
@@ -35,6 +39,11 @@
 	return !l.SendBefore.IsZero() && !now.Before(l.SendBefore)
 }
 
+// AllowsConnection reports whether an attempt may be sent on a connection that was opened at a time.
+func (l SendLimits) AllowsConnection(openedAt time.Time) bool {
+	return l.ConnectedBefore.IsZero() || !openedAt.After(l.ConnectedBefore)
+}
+
 // UpstreamAttempt is the router's handle of an attempt. Only the loop calls its methods, which must not block.
 type UpstreamAttempt interface {
 	// ForwardTo forwards the response to a client: first the buffered part, then further bytes as they arrive. It is
@@ -54,7 +63,8 @@
 	Head           any    // head and trailer of the response, in the form that servers of the same protocol expect
 	Trailer        any
 	Report         WorkerReport
-	WorkerDraining bool // the worker reported that it is draining
+	WorkerDraining bool      // the worker reported that it is draining
+	ConnectedAt    time.Time // when the connection that carried the attempt was opened; zero means unknown, or none
 }
 
 // WorkerReport is the load information that a response contains about its worker.
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -13,6 +14,13 @@
 	lastFaultAt       = 12 * time.Second
 	discoveryFaultGap = 500 * time.Millisecond // minimum time between two faults of discovery
 	drawnSkew         = 1.3                    // Schedule.FunctionSkew
+
+	// movedWorkerStream numbers the random stream of drawMovedWorkers, which leaves the other draws as they are.
+	movedWorkerStream = 1
+	// movedAfter is the time from the start of an outage of discovery until a worker is moved. Routers count as notified
+	// of the outage's changes before; until then they may rely on their list.
+	movedAfter    = outageNotificationLimit + time.Second
+	movedDuration = 2 * time.Second // minimum time for which the moved worker fails calls during the outage
 	// Minimum shares of the calls that have to be served. The remaining calls may be lost at hung workers, in bursts,
 	// and, without health checks, while the endpoint list is out of date, which loses most calls.
 	minServedWithMildFaults      = 0.95 // only faults of discovery and the mild kinds in requiredServedShare
@@ -86,6 +94,7 @@
 	s.Faults = append(s.Faults, workerFaults...)
 	s.Faults = append(s.Faults, drawFaultsOfTargets(random, routerTemplates, random.IntN(s.Routers+1), s.Routers)...)
 	s.Faults = append(s.Faults, drawFaultsOfTargets(random, trafficTemplates, random.IntN(3), len(trafficTemplates))...)
+	s.Faults = append(s.Faults, drawMovedWorkers(rand.New(rand.NewPCG(seed, movedWorkerStream)), s)...)
 	slices.SortFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	s.MinServedShare = s.requiredServedShare()
 	return s
@@ -123,6 +132,25 @@
 	return faults
 }
 
+// drawMovedWorkers draws, in one of two schedules with a long outage of discovery, a worker that dies during the outage
+// and whose address is taken by a worker of another cell. No other fault concerns that worker.
+func drawMovedWorkers(random *rand.Rand, s Schedule) (faults []Fault) {
+	for _, outage := range s.Faults {
+		isOutage := outage.Kind == DiscoveryRefused || outage.Kind == DiscoverySilent
+		if !isOutage || outage.Duration < movedAfter+movedDuration || random.IntN(2) == 0 {
+			continue
+		}
+		target := random.IntN(s.Workers)
+		isTaken := func(f Fault) bool { return f.Target == target && strings.HasPrefix(string(f.Kind), "worker-") }
+		if slices.ContainsFunc(s.Faults, isTaken) || slices.ContainsFunc(faults, isTaken) {
+			continue
+		}
+		faults = append(faults, Fault{Kind: WorkerMoved, At: outage.At + movedAfter, Duration: outage.Duration - movedAfter,
+			Target: target})
+	}
+	return faults
+}
+
 // draw returns a fault with a random duration. The caller sets its time and target.
 func (f faultTemplate) draw(random *rand.Rand) Fault {
 	fault := Fault{Kind: f.kind, Duration: f.minDuration}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,6 +16,7 @@
 const (
 	removalDuration = 1200 * time.Millisecond // time between a worker's removal from the list and its return
 	resetInterval   = 300 * time.Millisecond  // between the resets of a worker that resets its connections
+	takeoverDelay   = 200 * time.Millisecond  // between a worker's death and another worker at its address
 	reloadCount     = 4
 	reloadInterval  = 60 * time.Millisecond
 	signalInterval  = 150 * time.Millisecond // between further signals to a router that ends
@@ -68,6 +69,7 @@
 	WorkerDrained:      (*run).drainWorker,
 	WorkerReplaced:     (*run).drainWorker,
 	WorkerKilled:       (*run).killWorker,
+	WorkerMoved:        (*run).moveWorker,
 	WorkerHung:         changeBehaviour(ignoresCalls),
 	WorkerVanished:     changeBehaviour(ignoresEverything),
 	WorkerSlow:         changeBehaviour(answersSlowly),
@@ -153,6 +155,22 @@
 	return r.platform.restartWorker(fault.Target, worker.id)
 }
 
+// moveWorker kills a worker. A worker of the next cell takes its address; it runs most keyed calls and answers them with
+// an error until the fault ends.
+func (r *run) moveWorker(fault Fault) error {
+	old := r.platform.worker(fault.Target)
+	r.platform.setState(fault.Target, stateRemoved)
+	old.stop()
+	time.Sleep(takeoverDelay)
+	if err := r.platform.startInNextCell(fault.Target); err != nil {
+		return err
+	}
+	moved := r.platform.worker(fault.Target)
+	time.Sleep(fault.Duration)
+	moved.setBehaviour(healthy)
+	return nil
+}
+
 // changeBehaviour returns an injector that changes a worker's behaviour for the duration of the fault.
 func changeBehaviour(b behaviour) func(*run, Fault) error {
 	return func(r *run, fault Fault) error {
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -60,7 +60,8 @@
 		for router := range routers {
 			addresses = append(addresses, p.block.worker(router, index))
 		}
-		worker, err := p.startWorker(index, fmt.Sprintf("w%02d", index), 0, addresses)
+		worker, err := p.startWorker(&worker{index: index, cell: index % workerCells, id: fmt.Sprintf("w%02d", index),
+			addresses: addresses})
 		if err != nil {
 			return err
 		}
@@ -80,9 +81,8 @@
 
 // startWorker starts a worker. It shares the keys of executed requests with the workers of its cell, which drop
 // requests with a repeated key.
-func (p *platform) startWorker(index int, id string, startedUnix uint64, addresses []string) (*worker, error) {
-	w := &worker{index: index, id: id, startedUnix: startedUnix, addresses: addresses}
-	return w, w.start(p.records, &p.executedKeys[index%workerCells])
+func (p *platform) startWorker(w *worker) (*worker, error) {
+	return w, w.start(p.records, &p.executedKeys[w.cell])
 }
 
 // snapshot returns the event with all listed workers, at the addresses for a router.
@@ -126,10 +126,27 @@
 // restartWorker starts a worker under the given id in place of one that was stopped, and lists it as active.
 func (p *platform) restartWorker(index int, id string) error {
 	oldWorker := p.worker(index)
-	started, err := p.startWorker(index, id, p.startTime(), oldWorker.addresses)
+	return p.replaceWorker(&worker{index: index, cell: oldWorker.cell, id: id, startedUnix: p.startTime(),
+		addresses: oldWorker.addresses})
+}
+
+// startInNextCell starts a worker of the next cell, which fails keyed calls, at the address of one that was stopped,
+// and lists it as active.
+func (p *platform) startInNextCell(index int) error {
+	oldWorker := p.worker(index)
+	moved := &worker{index: index, cell: (oldWorker.cell + 1) % workerCells, id: p.replacementID(index),
+		startedUnix: p.startTime(), addresses: oldWorker.addresses}
+	moved.setBehaviour(failsKeyedCalls)
+	return p.replaceWorker(moved)
+}
+
+// replaceWorker starts a worker in place of the one with the same index, and lists it as active.
+func (p *platform) replaceWorker(w *worker) error {
+	started, err := p.startWorker(w)
 	if err != nil {
 		return err
 	}
+	index, id := w.index, w.id
 	p.records.Add(invariants.Record{Kind: invariants.WorkerStarted, Worker: id})
 	p.mu.Lock()
 	p.workers[index] = started
--- a/internal/soak/related_paths_test.go
+++ b/internal/soak/related_paths_test.go
@@ -5,6 +5,28 @@
 	"time"
 )
 
+// TestWorkerOfAnotherCellTakesAddressDuringOutage guards against a call that is idempotent by key and takes effect twice.
+// Discovery is out of reach; later most workers die, and workers of another cell take their addresses and fail most keyed
+// calls after running them. The routers sent the repeats to the cells of the workers that had died, as their outdated
+// list said.
+func TestWorkerOfAnotherCellTakesAddressDuringOutage(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []FaultKind{DiscoveryRefused, DiscoverySilent} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			s := baseSchedule()
+			s.Duration = 14 * time.Second
+			s.CallRate = 120
+			s.MinServedShare = minServedWithAnyFaults
+			s.Faults = []Fault{{Kind: kind, At: time.Second, Duration: 13 * time.Second}}
+			for target := range s.Workers * 3 / 4 {
+				s.Faults = append(s.Faults, Fault{Kind: WorkerMoved, At: time.Second + movedAfter, Duration: 9 * time.Second, Target: target})
+			}
+			requirePassed(t, s)
+		})
+	}
+}
+
 // TestFaultsWhileEndpointListIsOutdated combines a router's outdated view of the workers with other faults and
 // settings: drains, stopped and restarted routers, a move of discovery, no health checks, and short deadlines.
 func TestFaultsWhileEndpointListIsOutdated(t *testing.T) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -25,6 +25,7 @@
 	WorkerHung         FaultKind = "worker-hung"         // answers health checks and load commands, but no calls
 	WorkerVanished     FaultKind = "worker-vanished"     // answers nothing, not even health checks
 	WorkerReplaced     FaultKind = "worker-replaced"     // drains; a worker with another id takes its address
+	WorkerMoved        FaultKind = "worker-moved"        // dies; a worker of another cell takes its address and fails keyed calls
 	WorkerSlow         FaultKind = "worker-slow"         // requests take ten times as long
 	WorkerResets       FaultKind = "worker-resets"       // its connections are reset several times
 	RouterTerminated   FaultKind = "router-terminated"   // SIGTERM, more signals, and the earliest allowed SIGKILL
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -16,6 +16,7 @@
 	workerCells  = 4  // deduplication scopes of the fleet
 	keyedClass   = "keyed"
 	execCommand  = "exec"
+	classField   = "cls" // of a call, on the wire
 )
 
 // behaviour is the way in which a worker handles messages.
@@ -26,17 +27,24 @@
 	ignoresCalls           // but answers health checks and load commands
 	ignoresEverything
 	answersSlowly
+	failsKeyedCalls // it runs them and answers with an error, except for one in servedKeyedCalls
 )
 
+// servedKeyedCalls is the number of keyed calls of which a worker that fails them serves one. If it failed all, routers
+// would soon send it none.
+const servedKeyedCalls = 5
+
 // worker is a fake worker. It has a separate server and address for each router, so that its records can name the
 // router that sent a message.
 type worker struct {
 	index       int
+	cell        int
 	id          string
 	startedUnix uint64 // start time in Unix milliseconds; 0 means long before the run
 	servers     []*fakeplatform.Worker
 	addresses   []string
 	behaviour   atomic.Int32
+	keyedCalls  atomic.Int64
 }
 
 // start starts the worker at its addresses.
@@ -65,6 +73,10 @@
 		if current == answersSlowly && isCall {
 			time.Sleep((slowFactor - 1) * workDuration)
 		}
+		if current == failsKeyedCalls && isCall && r.Fields[classField] == keyedClass && w.keyedCalls.Add(1)%servedKeyedCalls > 0 {
+			server.RunAndFail(r)
+			return
+		}
 		server.HandleHealthy(r)
 	}()
 }
@@ -94,7 +106,7 @@
 
 // listLine returns the worker's line in an event of the endpoint list, with its address for a router.
 func (w *worker) listLine(router int, state string) string {
-	return fmt.Sprintf("%s %s %s %d %d", w.id, w.addresses[router], state, w.index%workerCells, w.startedUnix)
+	return fmt.Sprintf("%s %s %s %d %d", w.id, w.addresses[router], state, w.cell, w.startedUnix)
 }
 
 func routerName(router int) string { return fmt.Sprintf("n%d", router) }
--- a/internal/transport/http2/conn.go
+++ b/internal/transport/http2/conn.go
@@ -31,6 +31,7 @@
 	netConn  net.Conn
 	handler  Handler
 	isClient bool
+	openedAt time.Time
 
 	// Used by the reading goroutine only.
 	reader             *bufio.Reader
@@ -87,6 +88,7 @@
 		netConn:  netConn,
 		handler:  h,
 		isClient: isClient,
+		openedAt: time.Now(),
 
 		reader:          bufio.NewReader(netConn),
 		decoder:         hpack.NewDecoder(hpack.DefaultTableSize, cfg.MaxHeaderListSize),
@@ -128,6 +130,9 @@
 // RemoteAddr returns the peer's address.
 func (c *Conn) RemoteAddr() string { return c.netConn.RemoteAddr().String() }
 
+// OpenedAt returns when the connection was established.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // isPeerStream reports whether the ID is one that the peer opens: client streams are odd, server streams even.
 func (c *Conn) isPeerStream(id uint32) bool { return (id%2 == 1) != c.isClient }
 
--- a/internal/upstream/grpcupstream/attempt.go
+++ b/internal/upstream/grpcupstream/attempt.go
@@ -28,6 +28,7 @@
 
 	mu              sync.Mutex    // guards the fields below, except onWritten
 	stream          *http2.Stream // nil until it is opened
+	connectedAt     time.Time     // when the connection of the stream was opened
 	metadata        []hpack.Field // from the response headers, forwarded to the client
 	headersReceived bool
 	invalidResponse *outcome // set if the response is not gRPC or its HTTP status is not 200
@@ -56,17 +57,22 @@
 }
 
 // openStream implements outgoingCall. It opens no stream if the attempt has ended in the meantime, or if it is too
-// late to send it; in the second case the attempt ends with the result NotSent.
+// late to send it, or the connection was opened too late; in the last two cases the attempt ends with the result NotSent.
 func (a *attempt) openStream(c *http2.Conn) error {
 	if a.limits.Expired(time.Now()) {
 		a.abort(outcome{dispatch.NotSent, grpc.Status{Code: grpc.Unavailable, Message: "not sent in time"}})
 		return nil
 	}
+	if !a.limits.AllowsConnection(c.OpenedAt()) {
+		a.abort(outcome{dispatch.NotSent, grpc.Status{Code: grpc.Unavailable, Message: "no connection to the listed worker"}})
+		return nil
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
 		return nil
 	}
+	a.connectedAt = c.OpenedAt()
 	path := oip.Infer
 	if a.streamed {
 		path = oip.StreamInfer
@@ -108,6 +114,7 @@
 	}
 	a.ended = true
 	result.Head = a.metadata
+	result.ConnectedAt = a.connectedAt
 	if a.client == nil {
 		result.Body, a.buffered = a.buffered, nil
 	}
--- a/internal/upstream/respupstream/assign.go
+++ b/internal/upstream/respupstream/assign.go
@@ -29,12 +29,14 @@
 		return p.finish(x, dispatch.NotSent, nil)
 	}
 	w := x.worker
-	best := w.leastLoadedConn(x.id, p.config.MaxRequestsPerConn)
+	best := w.leastLoadedConn(x, p.config.MaxRequestsPerConn)
 	switch {
+	case best == nil && !x.sendLimits.AllowsConnection(time.Now()): // a new connection would not be allowed
+		return p.finish(x, dispatch.NotSent, nil)
 	case best != nil && best.outstanding() == 0:
 		best.enqueue(x)
 		return nil
-	case p.mayDial(w):
+	case p.mayDial(w) && x.sendLimits.AllowsConnection(time.Now()):
 		p.startDial(w, x)
 		return nil
 	case best != nil:
@@ -51,13 +53,14 @@
 	return nil
 }
 
-// leastLoadedConn returns the connection with the fewest exchanges outstanding that an exchange with the id may use,
-// or nil if there is none. Ties go to the most recently used connection. A connection that has carried the id before
+// leastLoadedConn returns the connection with the fewest exchanges outstanding that an exchange may use, or nil if there
+// is none. Ties go to the most recently used connection. A connection that has carried the id before
 // is excluded: a late response on it could be mistaken for the response to the new exchange. The lock is held.
-func (w *worker) leastLoadedConn(id string, maxOutstanding int) *conn {
+func (w *worker) leastLoadedConn(x *exchange, maxOutstanding int) *conn {
 	var best *conn
 	for _, c := range w.conns {
-		if c.draining || c.usedIDs[id] != 0 || c.outstanding() >= maxOutstanding {
+		isUsable := !c.draining && c.usedIDs[x.id] == 0 && x.sendLimits.AllowsConnection(c.openedAt)
+		if !isUsable || c.outstanding() >= maxOutstanding {
 			continue
 		}
 		if best == nil || c.isPreferredTo(best) {
--- a/internal/upstream/respupstream/exchange.go
+++ b/internal/upstream/respupstream/exchange.go
@@ -40,6 +40,7 @@
 	writtenAt     time.Time // start of the write; zero before
 	partlyWritten bool      // the write has started, but the system has not accepted the whole message
 	ended         bool
+	connectedAt   time.Time   // when the connection that carried it was opened; set when it ends, zero if none did
 	timer         *time.Timer // of load commands and health checks
 }
 
@@ -65,7 +66,9 @@
 	x := &exchange{pool: p, kind: kindAttempt, call: call, createdAt: time.Now(), sendLimits: limits}
 	x.writeBefore = x.createdAt.Add(limits.Remaining)
 	x.done = func(result dispatch.Result, received *response) {
-		p.router.AttemptEnded(token, newAttemptResult(result, received))
+		attemptResult := newAttemptResult(result, received)
+		attemptResult.ConnectedAt = x.connectedAt
+		p.router.AttemptEnded(token, attemptResult)
 	}
 	if request == nil { // a call of another protocol, which this one cannot carry
 		x.ended = true
@@ -157,6 +160,9 @@
 		x.timer.Stop()
 	}
 	if c := x.conn; c != nil {
+		if !x.writtenAt.IsZero() {
+			x.connectedAt = c.openedAt
+		}
 		c.remove(x)
 	} else if x.worker != nil {
 		x.worker.waiting = slices.DeleteFunc(x.worker.waiting, func(other *exchange) bool { return other == x })
--- a/internal/upstream/respupstream/harness_test.go
+++ b/internal/upstream/respupstream/harness_test.go
@@ -30,6 +30,7 @@
 	loadWorker        string        // receives a load command per request; empty means no load commands
 	healthCheckWorker string        // receives a health check per request; empty means no checks
 	delay             time.Duration // duration of each Step
+	connectedBefore   time.Duration // see dispatch.StartAttempt
 
 	mu            sync.Mutex
 	endedAttempts map[dispatch.RequestID]int // number of attempts that have ended
@@ -42,7 +43,7 @@
 	for _, e := range events {
 		switch e := e.(type) {
 		case dispatch.Request:
-			out = append(out, dispatch.StartAttempt{ID: e.ID, Worker: s.attemptWorkers[0]})
+			out = append(out, dispatch.StartAttempt{ID: e.ID, Worker: s.attemptWorkers[0], ConnectedBefore: s.connectedBefore})
 			if s.loadWorker != "" {
 				out = append(out, dispatch.LoadFunction{Worker: s.loadWorker, Function: e.Function, Copies: 2})
 			}
