dispatch, router: functions that clients name and no worker serves are limited in number

Each name cost a function with its ranking and placements for 10 s (733 bytes in a scratch test with 12 workers, 52,000 names in 7 s), an entry of recentFunctions for 3 minutes, and each id that was written an entry of a connection for one minute. All three grew with the rate of the requests, which only the clients decide.

Ruled out: a shorter unservedFunctionTTL, which a faster client passes; open requests, attempts and timers, which end with the deadline (0 requests and 17,020 timers after 50,000 calls).

A connection keeps hashes of its used ids; two ids with one hash only take two connections.

--- a/dispatch/acceptance.go
+++ b/dispatch/acceptance.go
@@ -30,6 +30,8 @@
 		d.requestTimes = append(d.requestTimes, d.now)
 	}
 	d.requests[e.ID] = r
+	f.openRequests++
+	d.limitUnservedFunctions()
 	d.setRequestTimer(r, r.deadline+d.settings.ResponseGrace/graceDivisor)
 	d.routeRequest(r)
 }
--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -17,6 +17,7 @@
 	minRequestsPerWorker     = 3.0                    // request rates cover at least this many per worker
 	idleFunctionTTL          = 2 * time.Minute        // until a function without requests is deleted
 	unservedFunctionTTL      = 10 * time.Second       // if it was never served: clients can invent names
+	maxUnservedFunctions     = 4096                   // never served; beyond it the oldest are deleted early
 	slowThreshold            = 1.0                    // slowness from which a worker is reported
 	suspectedCapacity        = 0.01                   // capacity factor of a suspected worker
 	maxSpeedFactor           = 1.5                    // maximum factor of the capacity of a fast worker
@@ -79,12 +80,37 @@
 		idle := d.now - f.lastRequestAt
 		keep := idle <= unservedFunctionTTL || f.served && idle <= idleFunctionTTL
 		if !keep {
-			delete(d.functions, f.key)
+			d.forgetFunction(f)
 		}
 		return !keep
 	})
 }
 
+// limitUnservedFunctions deletes the oldest half of the functions that were never served, if there are too
+// many, except for those in use. Clients can invent names faster than unservedFunctionTTL expires them.
+func (d *Dispatcher) limitUnservedFunctions() {
+	if d.unservedFunctions <= maxUnservedFunctions {
+		return
+	}
+	excess := d.unservedFunctions - maxUnservedFunctions/2
+	d.functionsInOrder = slices.DeleteFunc(d.functionsInOrder, func(f *function) bool {
+		if excess == 0 || f.served || f.isInUse() {
+			return false
+		}
+		excess--
+		d.forgetFunction(f)
+		return true
+	})
+}
+
+// forgetFunction deletes a function. The caller removes it from functionsInOrder.
+func (d *Dispatcher) forgetFunction(f *function) {
+	delete(d.functions, f.key)
+	if !f.served {
+		d.unservedFunctions--
+	}
+}
+
 // reassignAfterUpdate assigns capacity after an endpoint update. In a large fleet, where updates are
 // frequent and each changes only a small part, it defers the assignment until reassignInterval has passed
 // since the last one. Until then new workers have no assigned demand, and workers that are no longer active
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -13,8 +13,9 @@
 
 // closeRequest ends a request and cancels its attempts in flight.
 func (d *Dispatcher) closeRequest(r *request) {
-	if r.inFlight == 0 {
+	if r.inFlight == 0 && d.requests[r.ID] == r {
 		delete(d.requests, r.ID)
+		r.function.openRequests--
 	}
 	for _, a := range r.attempts {
 		if !r.done && d.settings.CancelAllowed && !a.ended {
--- a/dispatch/function.go
+++ b/dispatch/function.go
@@ -10,6 +10,7 @@
 	lastClass     *class // class of its last request
 	lastRequestAt time.Duration
 	served        bool // a request for it has been served at least once
+	openRequests  int  // requests in Dispatcher.requests
 
 	memoryMB     float64 // of one copy
 	concurrency  float64 // requests that one copy runs at a time
@@ -67,10 +68,32 @@
 		f = &function{key: key, logRunTime: logRunTime, meanWorkUnit: workUnit, placements: map[*worker]*placement{}}
 		d.functions[key] = f
 		d.functionsInOrder = append(d.functionsInOrder, f)
+		d.unservedFunctions++
 	}
 	return f
 }
 
+// markServed records that a request for a function was served.
+func (d *Dispatcher) markServed(f *function) {
+	if !f.served {
+		f.served = true
+		d.unservedFunctions--
+	}
+}
+
+// isInUse reports whether a request or a load command of f is open.
+func (f *function) isInUse() bool {
+	if f.openRequests > 0 {
+		return true
+	}
+	for _, p := range f.placements {
+		if p.inFlight > 0 || p.loadCommandedAt > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // recordRequest counts a request and stores its properties of the function.
 func (f *function) recordRequest(e Request) {
 	f.requestCount++
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -25,7 +25,7 @@
 // last three.
 func (d *Dispatcher) recordResponse(a *attempt, e AttemptEnded) {
 	r := a.request
-	r.function.served = true
+	d.markServed(r.function)
 	d.retryBudget = min(d.retryBudget+1, retryBudgetBurst)
 	took := e.Duration.Seconds()
 	d.meanResponseTime += meanSmoothing * (took - d.meanResponseTime)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -31,6 +31,8 @@
 	classes          map[string]*class
 	functions        map[string]*function
 	functionsInOrder []*function // in the order of their first requests
+	// unservedFunctions is the number of functions that were never served.
+	unservedFunctions int
 
 	requests       map[RequestID]*request
 	pending        []*request // those that wait for an available worker
--- a/internal/upstream/respupstream/assign.go
+++ b/internal/upstream/respupstream/assign.go
@@ -59,7 +59,7 @@
 func (w *worker) leastLoadedConn(x *exchange, maxOutstanding int) *conn {
 	var best *conn
 	for _, c := range w.conns {
-		isUsable := !c.draining && c.usedIDs[x.id] == 0 && x.sendLimits.AllowsConnection(c.openedAt)
+		isUsable := !c.draining && !c.hasUsedID(x.id) && x.sendLimits.AllowsConnection(c.openedAt)
 		if !isUsable || c.outstanding() >= maxOutstanding {
 			continue
 		}
--- a/internal/upstream/respupstream/conn.go
+++ b/internal/upstream/respupstream/conn.go
@@ -27,7 +27,7 @@
 	openedAt        time.Time
 	lastReadAt      time.Time
 	lastUsedAt      time.Time                // when an exchange was last queued on it or removed from it
-	usedIDs         map[string]time.Duration // ids written to it, with their expiry as time since openedAt
+	usedIDs         map[usedID]time.Duration // ids written to it, with their expiry as time since openedAt
 	idsExpiredAt    time.Time                // when expired ids were last removed from usedIDs
 }
 
@@ -36,7 +36,7 @@
 func (c *conn) enqueueWaiting() {
 	for len(c.worker.waiting) > 0 && !c.draining && c.outstanding() == 0 {
 		x := c.worker.waiting[0]
-		if c.usedIDs[x.id] != 0 {
+		if c.hasUsedID(x.id) {
 			return
 		}
 		c.worker.waiting = c.worker.waiting[1:]
--- a/internal/upstream/respupstream/conn_test.go
+++ b/internal/upstream/respupstream/conn_test.go
@@ -69,7 +69,7 @@
 	openedAt := time.Now()
 	for _, step := range testsupport.WallClockSteps {
 		t.Run(step.String(), func(t *testing.T) {
-			c := &conn{inFlight: map[string]*exchange{"open": {}}, usedIDs: map[string]time.Duration{}, worker: &worker{}, openedAt: openedAt}
+			c := &conn{inFlight: map[string]*exchange{"open": {}}, usedIDs: map[usedID]time.Duration{}, worker: &worker{}, openedAt: openedAt}
 			c.markIDUsed("old", openedAt)
 			c.markIDUsed("open", openedAt)
 			c.markIDUsed("new", openedAt.Add(3*time.Second))
@@ -79,7 +79,7 @@
 			}{{usedIDRetention - time.Second, 3}, {usedIDRetention + 2*time.Second, 2}, {usedIDRetention + time.Hour, 1}} {
 				c.idsExpiredAt = time.Time{}
 				c.expireUsedIDs(testsupport.StepWallClock(t, openedAt.Add(check.at), step))
-				if len(c.usedIDs) != check.want || c.usedIDs["open"] == 0 {
+				if len(c.usedIDs) != check.want || !c.hasUsedID("open") {
 					t.Errorf("after %v: used ids %v, want %d", check.at, c.usedIDs, check.want)
 				}
 			}
--- a/internal/upstream/respupstream/dial.go
+++ b/internal/upstream/respupstream/dial.go
@@ -87,7 +87,7 @@
 		worker:     w,
 		reader:     resp.NewReader(resp.Limits{Items: maxResponseItems, Bytes: p.config.MaxResponseBytes}),
 		inFlight:   map[string]*exchange{},
-		usedIDs:    map[string]time.Duration{},
+		usedIDs:    map[usedID]time.Duration{},
 		openedAt:   time.Now(),
 		lastReadAt: time.Now(),
 		lastUsedAt: time.Now(),
--- a/internal/upstream/respupstream/write.go
+++ b/internal/upstream/respupstream/write.go
@@ -149,7 +149,7 @@
 	p.mu.Lock()
 	if x.kind != kindCancel {
 		p.stats.Written--
-		delete(c.usedIDs, x.id)
+		delete(c.usedIDs, hashID(x.id))
 	}
 	switch {
 	case x.ended:
