soak: floods of input, and the limit of each router's memory

The soak had no fault in which a peer sends faster than it is served, and did not look at the memory of the routers, although the platform kills a router over its limit.

--- a/internal/fake/fakeplatform/worker.go
+++ b/internal/fake/fakeplatform/worker.go
@@ -5,7 +5,9 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -146,6 +148,31 @@
 	}
 }
 
+// WriteToAll writes raw to all open connections. A write that takes longer than timeout ends its connection.
+func (w *Worker) WriteToAll(raw string, timeout time.Duration) {
+	w.mu.Lock()
+	conns := slices.Collect(maps.Keys(w.conns))
+	w.mu.Unlock()
+	for _, c := range conns {
+		if c.writeWithin(raw, timeout) != nil {
+			_ = c.Close()
+		}
+	}
+}
+
+// writeWithin writes raw like WriteRaw and returns an error if that takes longer than timeout.
+func (c *Conn) writeWithin(raw string, timeout time.Duration) error {
+	if c.hanging.Load() {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(timeout))
+	_, err := io.WriteString(c.Conn, raw)
+	_ = c.SetWriteDeadline(time.Time{})
+	return err
+}
+
 // Received returns the messages received so far.
 func (w *Worker) Received() []Request {
 	w.mu.Lock()
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -21,6 +21,10 @@
 	// of the outage's changes before; until then they may rely on their list.
 	movedAfter    = outageNotificationLimit + time.Second
 	movedDuration = 2 * time.Second // minimum time for which the moved worker fails calls during the outage
+
+	floodStream   = 2 // numbers the random stream of drawFlood
+	floodChance   = 4 // one in this many schedules has a flood
+	floodDuration = 4 * time.Second
 	// Minimum shares of the calls that have to be served. The remaining calls may be lost at hung workers, in bursts,
 	// and, without health checks, while the endpoint list is out of date, which loses most calls.
 	minServedWithMildFaults      = 0.95 // only faults of discovery and the mild kinds in requiredServedShare
@@ -95,6 +99,7 @@
 	s.Faults = append(s.Faults, drawFaultsOfTargets(random, routerTemplates, random.IntN(s.Routers+1), s.Routers)...)
 	s.Faults = append(s.Faults, drawFaultsOfTargets(random, trafficTemplates, random.IntN(3), len(trafficTemplates))...)
 	s.Faults = append(s.Faults, drawMovedWorkers(rand.New(rand.NewPCG(seed, movedWorkerStream)), s)...)
+	s.Faults = append(s.Faults, drawFlood(rand.New(rand.NewPCG(seed, floodStream)), s)...)
 	slices.SortFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	s.MinServedShare = s.requiredServedShare()
 	return s
@@ -151,6 +156,19 @@
 	return faults
 }
 
+// drawFlood draws, in one of floodChance schedules, a router or a worker to which or from which input comes without end.
+func drawFlood(random *rand.Rand, s Schedule) []Fault {
+	if random.IntN(floodChance) > 0 {
+		return nil
+	}
+	fault := Fault{Kind: ConnectionFlood, Duration: floodDuration, Target: random.IntN(s.Routers)}
+	if random.IntN(2) == 0 {
+		fault = Fault{Kind: WorkerFloods, Duration: floodDuration, Target: random.IntN(s.Workers)}
+	}
+	fault.At = firstFaultAt + time.Duration(random.Int64N(int64(lastFaultAt-firstFaultAt)))
+	return []Fault{fault}
+}
+
 // draw returns a fault with a random duration. The caller sets its time and target.
 func (f faultTemplate) draw(random *rand.Rand) Fault {
 	fault := Fault{Kind: f.kind, Duration: f.minDuration}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -80,6 +80,8 @@
 	RouterStopped:      (*run).stopRouter,
 	RouterReloaded:     (*run).reloadRouter,
 	ConnectionCrowd:    (*run).crowdConnections,
+	ConnectionFlood:    (*run).floodConnections,
+	WorkerFloods:       (*run).floodFromWorker,
 	TrafficBurst:       changeTraffic(func(t *traffic, on bool) { t.burst.Store(on) }),
 	ClientsLeave:       changeTraffic(func(t *traffic, on bool) { t.leaving.Store(on) }),
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -109,6 +109,16 @@
 	_ = n.process.Process.Signal(s)
 }
 
+// pid returns the id of the process, or 0 before the first start.
+func (n *node) pid() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return 0
+	}
+	return n.process.Process.Pid
+}
+
 // expectEnd records that the process is expected to end, and returns a channel that is closed when it has ended.
 func (n *node) expectEnd() <-chan struct{} {
 	n.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -78,8 +78,14 @@
 	if err := r.startAll(); err != nil {
 		return nil, err
 	}
+	memory := startMemoryMeter(r.nodes)
 	r.runTrafficAndFaults()
-	return r.report(stalls.slack())
+	memory.stop()
+	report, err := r.report(stalls.slack())
+	if report != nil {
+		report.Failures = append(report.Failures, memory.failures()...)
+	}
+	return report, err
 }
 
 // startAll starts all routers concurrently and waits until they answer.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -28,6 +28,7 @@
 	WorkerMoved        FaultKind = "worker-moved"        // dies; a worker of another cell takes its address and fails keyed calls
 	WorkerSlow         FaultKind = "worker-slow"         // requests take ten times as long
 	WorkerResets       FaultKind = "worker-resets"       // its connections are reset several times
+	WorkerFloods       FaultKind = "worker-floods"       // sends responses to no request without end
 	RouterTerminated   FaultKind = "router-terminated"   // SIGTERM, more signals, and the earliest allowed SIGKILL
 	RouterKilled       FaultKind = "router-killed"       // SIGKILL
 	RouterStopped      FaultKind = "router-stopped"      // SIGSTOP, then SIGCONT
@@ -35,6 +36,7 @@
 	TrafficBurst       FaultKind = "traffic-burst"       // three times as many calls
 	ClientsLeave       FaultKind = "clients-leave"       // one client in five closes its connection early
 	ConnectionCrowd    FaultKind = "connection-crowd"    // hundreds of connections that send nothing or half a request
+	ConnectionFlood    FaultKind = "connection-flood"    // a few connections that send empty lines, pings or noise without end
 )
 
 // Fault is one fault of a schedule.
