dispatch: an endpoint list that is confirmed late stays out of date

Discovery answers each poll 2 s late. Once the list is out of date, such an answer confirms it for a time 2 s ago; the router then counted anew lossNotificationDelay, or until its next poll, as after a fresh loss, and relied on the list again for some hundred milliseconds, in which it can't know of drains of the last 2 s.

Ruled out: lateness as such as the sign (a poll that is answered with events confirms the list as of its start, up to 1 s ago, on a healthy channel too); a shorter lossNotificationDelay, which each lost poll would pay for.

Change: a list that is out of date stays so until a confirmation comes within the grace, or within 200 ms where the grace is shorter. Not covered: a grace of 2 s and more with answers that are late by less than that; there the list never goes out of date.

--- a/dispatch/leases_test.go
+++ b/dispatch/leases_test.go
@@ -385,3 +385,36 @@
 		t.Errorf("stored requests %v, want %d, from %v to %v", kept, maxListRequests, first, newest)
 	}
 }
+
+// TestLateConfirmationsLeaveListOutOfDate guards against an attempt at a worker that has drained for longer than the
+// grace, while discovery answers each request late: such a list was relied on until the next request or for
+// lossNotificationDelay, as if it had just been lost.
+func TestLateConfirmationsLeaveListOutOfDate(t *testing.T) {
+	const delay = lossNotificationDelay
+	h := newLeaseHarness(t, nil)
+	h.expireListLease()
+	for range 3 {
+		requestedAt := h.now
+		h.step(EndpointListRequested{At: requestedAt})
+		h.advance(delay)
+		h.step(EndpointListConfirmed{At: requestedAt})
+		if _, actions := h.request("f", classIdempotent); requestOutcome(actions) == "attempt" {
+			t.Error("an attempt was started although the list was confirmed late")
+		}
+	}
+	h.confirm()
+	h.requireOutcome("attempt", "the list was confirmed in time")
+	h.advance(lossNotificationDelay)
+	h.requireOutcome("attempt", "the list was lost again")
+}
+
+// TestListIsCurrentAgainWithShortDrainGrace guards against a list that stays out of date for ever, because each
+// confirmation takes longer than a very short drain grace.
+func TestListIsCurrentAgainWithShortDrainGrace(t *testing.T) {
+	h := newLeaseHarness(t, func(s *Settings) { s.DrainGrace = minDrainGrace })
+	h.expireListLease()
+	requestedAt := h.now
+	h.advance(maxConfirmationDelay / 2)
+	h.step(EndpointListConfirmed{At: requestedAt})
+	h.requireOutcome("attempt", "the list was confirmed")
+}
--- a/dispatch/listfreshness.go
+++ b/dispatch/listfreshness.go
@@ -14,6 +14,9 @@
 	// the router as notified of a change that it did not receive. The platform's protocol sets it to 2 s
 	// after a broken connection. Its other deadlines are later, or expire when the list is requested again.
 	lossNotificationDelay = 2 * time.Second
+	// maxConfirmationDelay is how late a confirmation may come for the list to count as current again, if the
+	// drain grace is shorter. It covers the usual delay of a response of discovery.
+	maxConfirmationDelay = 200 * time.Millisecond
 	// minPause is the shortest time without a Step that counts as a pause of the process.
 	minPause = 150 * time.Millisecond
 	// maxListRequests bounds the stored times of unanswered list requests. Answers take a few seconds at
@@ -33,15 +36,17 @@
 
 // nextNotificationAt returns when the router may count as notified of a change that the list does not show.
 // If the list is lost, the platform regards the router as notified of all changes after
-// lossNotificationDelay, or as soon as the list is requested again. If the process was paused, a change may
-// have been notified at any time since the list was confirmed.
+// lossNotificationDelay, or as soon as the list is requested again. If the process was paused, or the list is
+// out of date and each confirmation comes late, a change may have been notified at any time since the list was
+// confirmed.
 func (d *Dispatcher) nextNotificationAt() time.Duration {
 	list := &d.list
 	notifiedAt := list.confirmedAt + lossNotificationDelay
 	if len(list.requestedAt) > 0 {
 		notifiedAt = min(notifiedAt, list.requestedAt[0])
 	}
-	if list.pausedUntil > list.confirmedAt {
+	staysOutOfDate := list.expired && !list.confirmedInTime
+	if list.pausedUntil > list.confirmedAt || staysOutOfDate {
 		notifiedAt = list.confirmedAt
 	}
 	return notifiedAt
@@ -62,6 +67,7 @@
 func (d *Dispatcher) confirmList(e EndpointListConfirmed) {
 	d.list.confirmed = true
 	d.list.tracked = d.settings.DrainGrace > 0
+	d.list.confirmedInTime = d.now-e.At <= max(d.leaseDuration(), maxConfirmationDelay)
 	d.list.confirmedAt = max(d.list.confirmedAt, min(e.At, d.now))
 	isAnswered := func(at time.Duration) bool { return at <= d.list.confirmedAt }
 	d.list.requestedAt = slices.DeleteFunc(d.list.requestedAt, isAnswered)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -67,12 +67,14 @@
 
 // endpointList tracks how current the endpoint list is.
 type endpointList struct {
-	confirmed   bool            // the caller confirms the list
-	tracked     bool            // the caller confirms the list, and the settings have a drain grace
-	confirmedAt time.Duration   // the list contained all changes up to this time
-	requestedAt []time.Duration // requests for the list after confirmedAt, the oldest first
-	pausedUntil time.Duration   // end of the last pause of the process
-	expired     bool            // the last EndpointListStateChanged reported that the list is out of date
+	confirmed   bool          // the caller confirms the list
+	tracked     bool          // the caller confirms the list, and the settings have a drain grace
+	confirmedAt time.Duration // the list contained all changes up to this time
+	// confirmedInTime is whether the last confirmation was for a time shortly before it.
+	confirmedInTime bool
+	requestedAt     []time.Duration // requests for the list after confirmedAt, the oldest first
+	pausedUntil     time.Duration   // end of the last pause of the process
+	expired         bool            // the last EndpointListStateChanged reported that the list is out of date
 }
 
 // seconds converts seconds to a duration.
