--- a/dispatch/listfreshness.go
+++ b/dispatch/listfreshness.go
@@ -36,9 +36,9 @@
 
 // nextNotificationAt returns when the router may count as notified of a change that the list does not show.
 // If the list is lost, the platform regards the router as notified of all changes after
-// lossNotificationDelay, or as soon as the list is requested again. If the process was paused, or the list is
-// out of date and each confirmation comes late, a change may have been notified at any time since the list was
-// confirmed.
+// lossNotificationDelay, or as soon as the list is requested again. If the process was paused, or the list
+// is out of date and each confirmation comes late, a change may have been notified at any time since the
+// list was confirmed.
 func (d *Dispatcher) nextNotificationAt() time.Duration {
 	list := &d.list
 	notifiedAt := list.confirmedAt + lossNotificationDelay
