--- a/dispatch/attemptrules.go
+++ b/dispatch/attemptrules.go
@@ -82,7 +82,8 @@
 	if r.class.Idempotency != IdempotentByKey || r.class.DeduplicationScope == ScopeAll {
 		return false
 	}
-	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun && !d.identityProven(a) })
+	isUnproven := func(a *attempt) bool { return a.mayHaveRun && !d.identityProven(a) }
+	return slices.ContainsFunc(r.attempts, isUnproven)
 }
 
 // isOverRetryBudget reports whether the next attempt of a request would be a retry that the budget does not
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -18,7 +18,12 @@
 		d.retryBudget--
 	}
 	w.slowStartTokens -= r.class.meanWork
-	d.emit(StartAttempt{ID: r.ID, Worker: w.ID, SendBefore: d.sendBefore(w), ConnectedBefore: a.connectedBefore})
+	d.emit(StartAttempt{
+		ID:              r.ID,
+		Worker:          w.ID,
+		SendBefore:      d.sendBefore(w),
+		ConnectedBefore: a.connectedBefore,
+	})
 }
 
 // newAttempt returns an attempt with its expected duration and its weight.
