--- a/review/standin-2/cutoff.go
+++ b/review/standin-2/cutoff.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return false, err
 	}
-	r, err := startRouter(c, "n3", settings(300), channelAddress, commands.after(0), limits{Cores: 1, MemoryMB: 192, Sockets: 1024})
+	r, err := startRouter(c, "n3", settings(300), channelAddress, commands.after(0), limits{Cores: 1, MemoryMB: 64, Sockets: 640})
 	if err != nil {
 		return false, err
 	}
