--- a/review/standin-2/channel.go
+++ b/review/standin-2/channel.go
@@ -72,6 +72,31 @@
 	return opened.address, nil
 }
 
+// publicChannel is a command channel that can break off and come back at its address.
+type publicChannel struct {
+	*channel
+	address string
+	server  *http.Server
+}
+
+// open listens at the channel's address, or at a free one the first time.
+func (p *publicChannel) open() error {
+	if p.address == "" {
+		p.address = "127.0.0.1:0"
+	}
+	socket, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.address = socket.Addr().String()
+	p.server = &http.Server{Handler: p.channel}
+	go p.server.Serve(socket)
+	return nil
+}
+
+// breakOff ends all connections and refuses new ones.
+func (p *publicChannel) breakOff() { p.server.Close() }
+
 // passedConns is a net.Listener of connections that another listener has accepted.
 type passedConns struct {
 	conns   chan net.Conn
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 // cases holds the cases by the name of their folder. A case returns whether the rule was broken.
 var cases = map[string]func(c *environment) (broken bool, err error){
 	"6": cutOff,
+	"7": coldReturn,
 }
 
 // environment is what a case works with.
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -13,6 +13,13 @@
 	"time"
 )
 
+// Figures of ikeja-brew: a starting server has at least this share of its capacity, and all of it after this time.
+const (
+	startCapacity = 0.18
+	warmWithin    = 16 * time.Second
+	serverCores   = 5
+)
+
 // server is a stand-in of a model server. It loads a function when a call finds it missing, runs calls on its cores,
 // drops repeats of a key within its cell, and answers as PROTOCOL.md says.
 type server struct {
@@ -20,6 +27,8 @@
 	cell     int
 	record   *record
 	loadTime time.Duration
+	meanWork time.Duration
+	room     int // calls that it holds; further ones are turned away unseen
 	cores    chan struct{}
 
 	mu       sync.Mutex
@@ -28,6 +37,10 @@
 	active   int                  // calls held
 	draining bool
 	keys     *keys
+
+	startedAt time.Time // of a late start, else zero
+	arrivals  []time.Time
+	conns     map[net.Conn]bool
 }
 
 // keys holds the idempotency keys that the servers of one cell have seen.
@@ -50,12 +63,21 @@
 
 func newServer(r *record, id, zone string, cell int, cellKeys *keys) *server {
 	return &server{id: id, zone: zone, cell: cell, record: r, loadTime: 500 * time.Millisecond,
-		cores: make(chan struct{}, 5), loadedAt: map[string]time.Time{}, held: map[string]int{}, keys: cellKeys}
+		meanWork: 100 * time.Millisecond, room: 1000, cores: make(chan struct{}, serverCores),
+		loadedAt: map[string]time.Time{}, held: map[string]int{}, keys: cellKeys, conns: map[net.Conn]bool{}}
 }
 
 // serve serves one connection.
 func (s *server) serve(conn net.Conn) {
-	defer conn.Close()
+	s.mu.Lock()
+	s.conns[conn] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+		conn.Close()
+	}()
 	in := bufio.NewReader(conn)
 	var writing sync.Mutex
 	answer := func(items ...string) {
@@ -87,7 +109,8 @@
 	function := fields["item"]
 	s.record.add("server %s gets exec %s %s limit=%s", s.id, id, fields["cls"], fields["limit"])
 	s.mu.Lock()
-	if s.draining {
+	s.arrivals = append(s.arrivals, time.Now())
+	if s.draining || s.active >= s.room {
 		s.mu.Unlock()
 		s.record.add("server %s answers %s refused", s.id, id)
 		answer(id, "refused", "-", "")
@@ -106,7 +129,7 @@
 	s.cores <- struct{}{}
 	if key := fields["nonce"]; fields["cls"] != "renew" || !s.keys.isRepeat(key, 6*time.Second) {
 		s.record.add("server %s runs %s", s.id, id)
-		time.Sleep(time.Duration(60+rand.IntN(80)) * time.Millisecond)
+		time.Sleep(time.Duration(float64(s.meanWork) * (0.6 + 0.8*rand.Float64()) / s.capacity(time.Now())))
 	}
 	<-s.cores
 	s.mu.Lock()
@@ -118,6 +141,29 @@
 	answer(id, "ok", fmt.Sprintf("company=%d,meter=inflight:%d", company, active), "done "+body)
 }
 
+// capacity returns the share of its capacity that the server has: it rises evenly after a start.
+func (s *server) capacity(at time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.startedAt.IsZero() {
+		return 1
+	}
+	return min(1, startCapacity+(1-startCapacity)*float64(at.Sub(s.startedAt))/float64(warmWithin))
+}
+
+// restart ends the server's process and starts it again: its connections end, and it is empty and cold.
+func (s *server) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.Close()
+	}
+	s.startedAt = time.Now()
+	s.arrivals = nil
+	s.loadedAt = map[string]time.Time{}
+	s.record.add("server %s restarts, %d connections end", s.id, len(s.conns))
+}
+
 // report answers a probe.
 func (s *server) report(tag string, answer func(...string)) {
 	s.mu.Lock()
