--- a/review/standin-2/coldreturn.go
+++ b/review/standin-2/coldreturn.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -66,7 +67,7 @@
 		commands.breakOff()
 	}
 	time.Sleep(time.Until(quietSince.Add(coldQuiet)))
-	restarted := servers[rand.IntN(len(servers))]
+	restarted := busiest(servers)
 	for i, s := range servers {
 		if s == restarted {
 			s.restart()
@@ -93,6 +94,11 @@
 	return reportFall(c.record, restarted), nil
 }
 
+// busiest returns the server that has got the most calls.
+func busiest(servers []*server) *server {
+	return slices.MaxFunc(servers, func(a, b *server) int { return len(a.arrivals) - len(b.arrivals) })
+}
+
 // callSome has the clients of all routers call at random times.
 func callSome(groups []*clients, length time.Duration) {
 	rate := coldLoad * coldServers * serverCores / coldWork.Seconds() / float64(len(groups))
