dispatch, gossip: arithmetic is not fused, so decisions are alike on arm64 and x86-64

The compiler fuses x*y + z there, which rounds differently.

Change: products that are added or subtracted are converted explicitly, float64(x*y); the weighted means share one function, smooth.

Not run on x86-64: the machine is arm64.

--- a/dispatch/acceptance.go
+++ b/dispatch/acceptance.go
@@ -18,14 +18,14 @@
 	if e.ExpectedWork > 0 {
 		r.workUnit = e.ExpectedWork.Seconds()
 		logRunTime = 0
-		c.meanWork += workerSmoothing * (r.workUnit - c.meanWork)
+		c.meanWork = smooth(c.meanWork, r.workUnit, workerSmoothing)
 	}
 	f := d.ensureFunction(e.Function, logRunTime, r.workUnit)
 	r.function = f
 	f.lastClass = c
 	f.lastRequestAt = d.now
 	f.recordRequest(e)
-	f.meanWorkUnit += runTimeSmoothing * (r.workUnit - f.meanWorkUnit)
+	f.meanWorkUnit = smooth(f.meanWorkUnit, r.workUnit, runTimeSmoothing)
 	if d.settings.LoadRateWindow > 0 {
 		d.requestTimes = append(d.requestTimes, d.now)
 	}
--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -58,8 +58,8 @@
 // measureServedRates updates the rates of served requests and of their work.
 func (d *Dispatcher) measureServedRates(interval float64) {
 	gain := max(rateSmoothing, 1/d.rebalanceCount)
-	d.workRate += gain * (d.workServed/interval - d.workRate)
-	d.servedRate += gain * (d.servedCount/interval - d.servedRate)
+	d.workRate = smooth(d.workRate, d.workServed/interval, gain)
+	d.servedRate = smooth(d.servedRate, d.servedCount/interval, gain)
 	d.workServed = 0
 	d.servedCount = 0
 }
@@ -68,7 +68,7 @@
 func (d *Dispatcher) measureRequestRates(interval, gain float64) {
 	d.requestRate = 0
 	for _, f := range d.functionsInOrder {
-		f.requestRate += gain * (float64(f.requestCount)/interval - f.requestRate)
+		f.requestRate = smooth(f.requestRate, float64(f.requestCount)/interval, gain)
 		f.requestCount = 0
 		d.requestRate += f.requestRate
 	}
@@ -156,7 +156,7 @@
 		if f.served {
 			copies = f.requestRate * math.Exp(f.logRunTime) * f.meanWorkUnit / f.concurrency
 		}
-		f.demand = copies * f.memoryMB
+		f.demand = float64(copies * f.memoryMB)
 		total += f.demand
 	}
 	return total
@@ -167,7 +167,7 @@
 	sum := 0.0
 	for _, w := range d.activeWorkers {
 		w.warmingUp = w.warmingUp && d.now-w.StartedAt < d.settings.SlowStartDuration
-		w.remainingCapacity = d.capacityFactor(w) * max(w.memoryMB, 1)
+		w.remainingCapacity = float64(d.capacityFactor(w) * max(w.memoryMB, 1))
 		sum += w.remainingCapacity
 		if w.slowness > slowThreshold {
 			d.reportSuspicion(ReportSuspicion{Worker: w.ID, Slow: true})
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -57,5 +57,5 @@
 func (d *Dispatcher) retryAfter() time.Duration {
 	queue := float64(len(d.requests))
 	wait := min(queue/max(d.servedRate, minServedRate), d.settings.MaxRetryAfter.Seconds())
-	return seconds(wait * (0.5 + d.random.Float64()/2))
+	return seconds(wait * (0.5 + float64(d.random.Float64()/2)))
 }
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -67,7 +67,7 @@
 		return true
 	}
 	d.expireRateWindow()
-	limit := d.settings.LoadRateBurst + d.settings.LoadRateRatio*float64(len(d.requestTimes))
+	limit := d.settings.LoadRateBurst + float64(d.settings.LoadRateRatio*float64(len(d.requestTimes)))
 	if float64(len(d.loadCommandTimes)+1) > limitFraction*limit {
 		return false
 	}
@@ -104,7 +104,7 @@
 	p.loadCommandedAt = 0
 	if e.Result == OK || e.Copies > 0 {
 		if e.Duration > minMeasuredLoad {
-			d.logLoadTime += runTimeSmoothing * (math.Log(e.Duration.Seconds()) - d.logLoadTime)
+			d.logLoadTime = smooth(d.logLoadTime, math.Log(e.Duration.Seconds()), runTimeSmoothing)
 		}
 		p.residentUntil = d.now + d.settings.IdleResidency
 		p.loadFailures = 0
--- a/dispatch/loadreports.go
+++ b/dispatch/loadreports.go
@@ -28,9 +28,9 @@
 	deviation = min(max(deviation, -maxReportDeviation), maxReportDeviation)
 	w.reportedAt = d.now
 	w.reportedInFlight = inFlight
-	w.loadExcess += gain * (deviation - w.loadExcess/loadExcessDecay)
+	w.loadExcess += float64(gain * (deviation - w.loadExcess/loadExcessDecay))
 	w.loadExcess = min(max(w.loadExcess, -maxLoadExcess), maxLoadExcess)
-	d.meanReportedInFlight += meanSmoothing * (inFlight - d.meanReportedInFlight)
+	d.meanReportedInFlight = smooth(d.meanReportedInFlight, inFlight, meanSmoothing)
 }
 
 // shouldAwaitLoadReport reports whether a request should wait for a load report of w before its attempt
--- a/dispatch/retries.go
+++ b/dispatch/retries.go
@@ -98,5 +98,5 @@
 // retrying at the same time.
 func (d *Dispatcher) backoffWithJitter(base time.Duration, failures int) time.Duration {
 	factor := math.Exp2(float64(min(failures, maxBackoffExponent)))
-	return time.Duration(float64(base) * factor * (0.75 + d.random.Float64()/2))
+	return time.Duration(float64(base) * factor * (0.75 + float64(d.random.Float64()/2)))
 }
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -28,7 +28,7 @@
 	d.markServed(r.function)
 	d.retryBudget = min(d.retryBudget+1, retryBudgetBurst)
 	took := e.Duration.Seconds()
-	d.meanResponseTime += meanSmoothing * (took - d.meanResponseTime)
+	d.meanResponseTime = smooth(d.meanResponseTime, took, meanSmoothing)
 	d.recordResidency(a, e)
 	waited := !a.expectedResident
 	if d.settings.CacheStatusReported {
@@ -49,9 +49,9 @@
 	}
 	quick := e.Duration < d.expectedLoadTime(a.request.function)/2
 	if e.CacheStatus == CacheHit || e.CacheStatus == CacheUnknown && quick {
-		d.residentChance += meanSmoothing * (1 - d.residentChance)
+		d.residentChance = smooth(d.residentChance, 1, meanSmoothing)
 	} else {
-		d.residentChance -= meanSmoothing * d.residentChance
+		d.residentChance = smooth(d.residentChance, 0, meanSmoothing)
 	}
 }
 
@@ -64,9 +64,9 @@
 	deviation := math.Log(max(took, minResponseTime)/r.workUnit) - f.logRunTime - w.slowness
 	deviation = min(max(deviation, -maxRunTimeError), maxRunTimeError)
 	f.logRunTime += runTimeSmoothing * deviation / float64(1+a.concurrent)
-	w.slowness = min(max(w.slowness+workerSmoothing*deviation, minSlowness), maxSlowness)
+	w.slowness = min(max(w.slowness+float64(workerSmoothing*deviation), minSlowness), maxSlowness)
 	if r.ExpectedWork == 0 {
-		r.class.meanWork += workerSmoothing * (took - r.class.meanWork)
+		r.class.meanWork = smooth(r.class.meanWork, took, workerSmoothing)
 	}
 }
 
@@ -77,5 +77,5 @@
 
 // overdueAt returns the time at which an attempt becomes overdue.
 func (d *Dispatcher) overdueAt(a *attempt) time.Duration {
-	return a.startedAt + seconds(a.expectedSeconds+overdueMultiple*d.meanResponseTime)
+	return a.startedAt + seconds(a.expectedSeconds+float64(overdueMultiple*d.meanResponseTime))
 }
--- a/dispatch/slowstart.go
+++ b/dispatch/slowstart.go
@@ -12,7 +12,7 @@
 		return 1
 	}
 	progress := max(0, float64(d.now-w.StartedAt)/float64(d.settings.SlowStartDuration))
-	fraction := d.settings.SlowStartShare + (1-d.settings.SlowStartShare)*progress
+	fraction := d.settings.SlowStartShare + float64((1-d.settings.SlowStartShare)*progress)
 	return min(max(fraction, minSlowStartFraction), 1)
 }
 
@@ -25,7 +25,7 @@
 		return true
 	}
 	rate := d.slowStartFraction(w) * d.workRate / float64(max(len(d.activeWorkers), 1))
-	refilled := w.slowStartTokens + rate*(d.now-w.tokensUpdatedAt).Seconds()
+	refilled := w.slowStartTokens + float64(rate*(d.now-w.tokensUpdatedAt).Seconds())
 	w.slowStartTokens = min(refilled, rate*d.settings.OverloadWindow.Seconds())
 	w.tokensUpdatedAt = d.now
 	return w.slowStartTokens > 0
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -77,5 +77,8 @@
 	expired         bool            // the last EndpointListStateChanged reported that the list is out of date
 }
 
+// smooth returns an exponentially weighted mean after one more sample, which has the given weight.
+func smooth(mean, sample, weight float64) float64 { return mean + float64(weight*(sample-mean)) }
+
 // seconds converts seconds to a duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/gossip/anti_entropy.go
+++ b/internal/gossip/anti_entropy.go
@@ -8,7 +8,7 @@
 	if c.now < c.nextSync {
 		return
 	}
-	c.nextSync = c.now + time.Duration((0.75+c.rng.Float64()/2)*float64(c.syncInterval))
+	c.nextSync = c.now + time.Duration((0.75+float64(c.rng.Float64()/2))*float64(c.syncInterval))
 	c.syncInterval = min(2*c.syncInterval, c.cfg.SyncInterval) // more often at first, to learn the members quickly
 	for _, to := range c.randomMembers(1, "") {
 		c.sendState(to, false)
@@ -31,8 +31,8 @@
 	// The reserve is larger than that of replies to probes; otherwise concurrent exchanges would use up the budget of
 	// those replies.
 	reserve := (1 + c.cfg.ReservedShare) / 2
-	available := min(c.cfg.MaxSyncBytes, int(c.byteBudget.tokens-reserve*c.cfg.BurstBytes)) - m.Size()
-	if available < 0 || c.messageBudget.tokens-reserve*c.cfg.BurstMessages < 1 {
+	available := min(c.cfg.MaxSyncBytes, int(c.byteBudget.tokens-float64(reserve*c.cfg.BurstBytes))) - m.Size()
+	if available < 0 || c.messageBudget.tokens-float64(reserve*c.cfg.BurstMessages) < 1 {
 		c.stats.Withheld++
 		return
 	}
--- a/internal/gossip/dissemination.go
+++ b/internal/gossip/dissemination.go
@@ -44,8 +44,8 @@
 	m.From, m.Addr, m.Incarnation, m.SentAt = c.id, c.addr, c.incarnation, c.now
 	size := m.Size()
 	c.refillBudget()
-	available := min(c.cfg.MaxPacketBytes, int(c.byteBudget.tokens-reserve*c.cfg.BurstBytes))
-	if size > available || c.messageBudget.tokens-reserve*c.cfg.BurstMessages < 1 {
+	available := min(c.cfg.MaxPacketBytes, int(c.byteBudget.tokens-float64(reserve*c.cfg.BurstBytes)))
+	if size > available || c.messageBudget.tokens-float64(reserve*c.cfg.BurstMessages) < 1 {
 		c.stats.Withheld++
 		return false
 	}
--- a/internal/gossip/failure_detection.go
+++ b/internal/gossip/failure_detection.go
@@ -215,8 +215,8 @@
 // suspicionTimeout returns the duration of a suspicion with the given number of signers (Lifeguard, section IV-B).
 func (c *Core) suspicionTimeout(signers int) time.Duration {
 	n := float64(len(c.members) + 1)
-	shortest := c.cfg.SuspicionMultiplier * max(math.Log10(n), 1) * float64(c.cfg.ProbeInterval)
-	longest := shortest * c.cfg.MaxSuspicionMultiplier
+	shortest := float64(c.cfg.SuspicionMultiplier * max(math.Log10(n), 1) * float64(c.cfg.ProbeInterval))
+	longest := float64(shortest * c.cfg.MaxSuspicionMultiplier)
 	confirmed := math.Log(float64(max(signers, 1))) / math.Log(float64(c.cfg.Confirmations)+1)
-	return time.Duration(max(longest-(longest-shortest)*confirmed, shortest))
+	return time.Duration(max(longest-float64((longest-shortest)*confirmed), shortest))
 }
--- a/internal/gossip/packet_limiter.go
+++ b/internal/gossip/packet_limiter.go
@@ -22,7 +22,7 @@
 
 // take refills the bucket up to now and removes n tokens. If there are fewer, it removes none and returns false.
 func (b *tokenBucket) take(now time.Duration, rate, capacity, n float64) bool {
-	b.tokens, b.updatedAt = min(b.tokens+(now-b.updatedAt).Seconds()*rate, capacity), now
+	b.tokens, b.updatedAt = min(b.tokens+float64((now-b.updatedAt).Seconds()*rate), capacity), now
 	if b.tokens < n {
 		return false
 	}
--- a/internal/gossip/suspicion_quorum.go
+++ b/internal/gossip/suspicion_quorum.go
@@ -157,7 +157,7 @@
 	if !ok {
 		return 1
 	}
-	return 1 - r.penalty*math.Exp2(-float64(q.now-r.updatedAt)/float64(q.cfg.WeightHalfLife))
+	return 1 - float64(r.penalty*math.Exp2(-float64(q.now-r.updatedAt)/float64(q.cfg.WeightHalfLife)))
 }
 
 func (q *SuspicionQuorum) setWeight(signer string, weight float64) {
@@ -310,9 +310,9 @@
 	for signer, seen := range w.silenceClaims {
 		if e.Result == CheckFoundAlive { // an old claim may have been true when it was made
 			freshness := 1 - float64(q.now-seen)/float64(q.cfg.ClaimLifetime)
-			q.setWeight(signer, q.Weight(signer)*math.Exp2(-min(max(freshness, minContradictionExponent), 1)))
+			q.setWeight(signer, float64(q.Weight(signer)*math.Exp2(-min(max(freshness, minContradictionExponent), 1))))
 		} else {
-			q.setWeight(signer, q.Weight(signer)*confirmedWeightFactor)
+			q.setWeight(signer, float64(q.Weight(signer)*confirmedWeightFactor))
 		}
 	}
 	clear(w.silenceClaims)
