--- a/dispatch/actions.go
+++ b/dispatch/actions.go
@@ -59,6 +59,10 @@
 	Age     time.Duration // time since the list was last confirmed
 }
 
+// RestartAssumed reports that a worker is in slow start because it may have been restarted: contact with it was lost, and
+// the endpoint list is too old to show a restart.
+type RestartAssumed struct{ Worker string }
+
 // SubscribeEndpoints subscribes to changes of the endpoint list.
 type SubscribeEndpoints struct{}
 
@@ -84,6 +88,7 @@
 func (LoadFunction) action()             {}
 func (CheckHealth) action()              {}
 func (EndpointListStateChanged) action() {}
+func (RestartAssumed) action()           {}
 func (SubscribeEndpoints) action()       {}
 func (SetTimer) action()                 {}
 func (ReportSuspicion) action()          {}
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -93,4 +93,5 @@
 	w.warmingUp = d.settings.SlowStartDuration > 0
 	d.resetSlowStartTokens(w)
 	d.recountSuspectedWorkers()
+	d.emit(RestartAssumed{Worker: w.ID})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -272,6 +272,8 @@
 		r.checkHealth(action)
 	case dispatch.EndpointListStateChanged:
 		r.endpointListStateChanged(action)
+	case dispatch.RestartAssumed:
+		r.restartAssumed(action)
 	case dispatch.SetTimer:
 		r.dispatcherTimer = r.turnTime + action.After
 	case dispatch.ReportSuspicion:
--- a/internal/router/stats.go
+++ b/internal/router/stats.go
@@ -29,6 +29,9 @@
 	DrainsReported uint64        `json:"DrainsReported"` // health checks answered by a draining worker
 	ListExpired    bool          `json:"ListExpired"`    // the endpoint list is out of date
 	ListAge        time.Duration `json:"ListAge"`        // time since the list was last confirmed; 0 if it never was
+
+	// RestartsAssumed counts slow starts that began because a worker may have been restarted unseen.
+	RestartsAssumed uint64 `json:"RestartsAssumed"`
 }
 
 // Causes counts the causes of the dispatcher's decisions.
--- a/internal/router/workers.go
+++ b/internal/router/workers.go
@@ -64,6 +64,12 @@
 	})
 }
 
+// restartAssumed records and logs that the dispatcher assumes a restart of a worker.
+func (r *Router) restartAssumed(action dispatch.RestartAssumed) {
+	r.stats.RestartsAssumed++
+	r.cfg.Logger.Info("worker may have been restarted, slow start begins", "endpoint", action.Worker)
+}
+
 // logHealthCheck logs the result of a health check at debug level.
 func (r *Router) logHealthCheck(worker string, result HealthResult, forLease bool) {
 	if r.debug {
--- a/internal/upstream/respupstream/conn.go
+++ b/internal/upstream/respupstream/conn.go
@@ -123,6 +123,9 @@
 func (c *conn) reportLost() {
 	c.pool.mu.Lock()
 	listed := !c.worker.removed
+	if listed {
+		c.pool.stats.Lost++
+	}
 	c.pool.mu.Unlock()
 	if listed {
 		c.pool.router.WorkerConnectionLost(c.worker.id)
--- a/internal/upstream/respupstream/pool.go
+++ b/internal/upstream/respupstream/pool.go
@@ -61,6 +61,8 @@
 	Dials             uint64 // connects started
 	DialFailures      uint64
 	ProtocolErrors    uint64 // connections closed because of a malformed or stalled response, or a panic while reading
+	IdleClosed        uint64 // connections closed because they were idle or had drained
+	Lost              uint64 // connections to listed workers that ended, and not by this pool
 	Evicted           uint64 // idle connections closed to make room for a connection to another worker
 
 	// Sums over the attempts that ended as OK.
--- a/internal/upstream/respupstream/sweep.go
+++ b/internal/upstream/respupstream/sweep.go
@@ -46,6 +46,7 @@
 			callbacks = append(callbacks, p.reassignWaiting(w)...)
 		}
 	}
+	p.stats.IdleClosed += uint64(len(idle))
 	p.mu.Unlock()
 	runCallbacks(callbacks...)
 	for _, c := range stalled {
