--- a/dispatch/acceptance.go
+++ b/dispatch/acceptance.go
@@ -30,6 +30,7 @@
 		d.requestTimes = append(d.requestTimes, d.now)
 	}
 	d.requests[e.ID] = r
+	d.acceptedCount++
 	f.openRequests++
 	d.limitUnservedFunctions()
 	d.setRequestTimer(r, r.deadline+d.settings.ResponseGrace/graceDivisor)
--- a/dispatch/actions.go
+++ b/dispatch/actions.go
@@ -16,6 +16,8 @@
 	// ConnectedBefore is the time, on the clock of Step, by which the connection has to have been opened. If there is no
 	// such connection, the attempt is not sent and ends with the result NotSent. 0 means any connection.
 	ConnectedBefore time.Duration
+	// Unproven is whether the worker may have been restarted unseen.
+	Unproven bool
 }
 
 // CancelAttempt cancels one attempt. Its AttemptEnded still follows.
@@ -59,6 +61,10 @@
 	Age     time.Duration // time since the list was last confirmed
 }
 
+// KeepConnections sets whether open connections to workers are kept although they are idle, because the endpoint list is
+// too old to show restarts: the end of a connection shows them.
+type KeepConnections struct{ Keep bool }
+
 // RestartAssumed reports that a worker is in slow start because it may have been restarted: contact with it was lost, and
 // the endpoint list is too old to show a restart.
 type RestartAssumed struct{ Worker string }
@@ -88,6 +94,7 @@
 func (LoadFunction) action()             {}
 func (CheckHealth) action()              {}
 func (EndpointListStateChanged) action() {}
+func (KeepConnections) action()          {}
 func (RestartAssumed) action()           {}
 func (SubscribeEndpoints) action()       {}
 func (SetTimer) action()                 {}
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -18,11 +18,15 @@
 		d.retryBudget--
 	}
 	w.slowStartTokens -= r.class.meanWork
+	if w.proof.unproven {
+		w.proof.trialTokens--
+	}
 	d.emit(StartAttempt{
 		ID:              r.ID,
 		Worker:          w.ID,
 		SendBefore:      d.sendBefore(w),
 		ConnectedBefore: a.connectedBefore,
+		Unproven:        w.proof.unproven,
 	})
 }
 
@@ -123,6 +127,7 @@
 	switch e.Result {
 	case OK:
 		d.renewLease(w, a.startedAt)
+		d.recordTrial(a, e)
 		d.recordResponse(a, e)
 		d.recordClassServed(w, a.request.class)
 		p.residentUntil = max(p.residentUntil, d.now+d.settings.IdleResidency)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -57,6 +57,7 @@
 	d.now = max(now, d.now)
 	d.actions = nil
 	d.detectPause(lastStep)
+	d.updateProofs()
 	if !d.started {
 		d.started = true
 		d.lastRebalance = d.now
@@ -66,6 +67,7 @@
 		d.handleEvent(e)
 	}
 	d.updateListState()
+	d.updateProofs()
 	for d.timers.due(d.now) {
 		if r := d.requests[d.timers.pop()]; r != nil {
 			d.requestTimerFired(r)
@@ -89,6 +91,8 @@
 		if w := d.workers[e.Worker]; w != nil {
 			d.recordContactLoss(w)
 		}
+	case ConnectionsChanged:
+		d.recordConnections(e)
 	case EndpointListConfirmed:
 		d.confirmList(e)
 	case EndpointListRequested:
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -22,7 +22,8 @@
 //   - dispatcher.go: Step, which dispatches the events to their handlers and sets the timer
 //   - listfreshness.go, leases.go, leasechecks.go: how long the endpoint list counts as current, which workers may get
 //     new attempts and load commands, and the health checks that replace the list while it is out of date
-//   - endpoints.go, slowstart.go: the known workers, and the reduced load of those that have just started
+//   - endpoints.go, slowstart.go, possiblerestarts.go: the known workers, and the reduced load of those that have just
+//     started, or may have been restarted unseen
 //   - ranking.go, assignment.go, selection.go: the order in which a function prefers workers, the share of its demand
 //     that each worker is assigned, and the choice of a worker for a request
 //   - loading.go: load commands
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -43,11 +43,8 @@
 	w.memoryMB = d.memoryByKind[e.Kind]
 	w.listedInUpdate = d.endpointUpdateCount
 	d.queueStateChange(w)
-	warmingUp := e.StartedAt > 0 && d.now-e.StartedAt < d.settings.SlowStartDuration
-	if warmingUp != w.warmingUp {
-		w.warmingUp = warmingUp
-		d.resetSlowStartTokens(w)
-	}
+	w.proof.restartAssumed = false
+	d.updateWarmingUp(w)
 }
 
 // markUnlistedRemoved marks the workers that the current snapshot does not list as removed.
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -160,6 +160,14 @@
 // its AttemptEnded.
 type ConnectionLost struct{ Worker string }
 
+// ConnectionsChanged reports that a connection to a worker was opened or closed, by whichever side. OldestOpenedAt is when
+// the oldest of those that may carry attempts was opened; 0 means that there is none. If a caller never sends this event,
+// connections are not used as evidence.
+type ConnectionsChanged struct {
+	Worker         string
+	OldestOpenedAt time.Duration
+}
+
 // EndpointUpdate carries the endpoint list or changes of it.
 type EndpointUpdate struct {
 	Snapshot         bool // Endpoints is the complete list: workers that are not in it have been removed
@@ -186,6 +194,7 @@
 func (FunctionLoaded) event()        {}
 func (HealthChecked) event()         {}
 func (ConnectionLost) event()        {}
+func (ConnectionsChanged) event()    {}
 func (EndpointListConfirmed) event() {}
 func (EndpointListRequested) event() {}
 func (EndpointUpdate) event()        {}
--- a/dispatch/leasechecks.go
+++ b/dispatch/leasechecks.go
@@ -21,9 +21,7 @@
 // new check, or one in flight that is not overdue for the request. Workers that are unlikely to serve the
 // request are not checked for it.
 func (d *Dispatcher) mayCheckLease(r *request, w *worker) bool {
-	unresponsive := w.suspected && !d.majoritySuspected()
-	unlikelyToServe := unresponsive || r.failedOn(w) || d.now < w.ejections[r.class].until
-	if !d.settings.HealthChecksAllowed || r.inFlight > 0 || unlikelyToServe {
+	if !d.settings.HealthChecksAllowed || r.inFlight > 0 || d.isUnfit(r, w) {
 		return false
 	}
 	waited := d.now - w.lease.checkedAt
@@ -37,6 +35,13 @@
 	}
 }
 
+// isUnfit reports whether a worker would probably not serve a request: it is suspected, has failed the
+// request, or its class is ejected.
+func (d *Dispatcher) isUnfit(r *request, w *worker) bool {
+	unresponsive := w.suspected && !d.majoritySuspected()
+	return unresponsive || r.failedOn(w) || d.now < w.ejections[r.class].until
+}
+
 // leaseCheckTimeout returns how long a request waits for the health check of one worker.
 func (d *Dispatcher) leaseCheckTimeout(r *request) time.Duration {
 	return min(pendingBackoff, (r.deadline-r.acceptedAt)/leaseCheckTimeoutDivisor)
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -62,36 +62,3 @@
 		w.lease.knownActiveAt = 0
 	}
 }
-
-// recordContactLoss records that a worker may have stopped: a connection to it failed, or it reported that
-// it drains.
-func (d *Dispatcher) recordContactLoss(w *worker) {
-	w.lease.lostContactAt = d.now
-}
-
-// handlePossibleRestart resets a worker that responds again after a loss of contact and starts its slow
-// start, if the endpoint list is too old to show whether the worker was restarted. The next update of the
-// list corrects the start time. False positives: a worker that only lost its connections, or ended a drain
-// without a restart, gets less work until its slow start ends.
-func (d *Dispatcher) handlePossibleRestart(w *worker) {
-	isBack := w.lease.knownActiveAt > w.lease.lostContactAt
-	lostSinceConfirmed := w.lease.lostContactAt > d.list.confirmedAt
-	if d.listIsCurrent() || !isBack || !lostSinceConfirmed {
-		return
-	}
-	d.requeueWaiting(w)
-	knownActiveAt := w.lease.knownActiveAt
-	endpoint := w.Endpoint
-	endpoint.StartedAt = d.now
-	memoryMB := w.memoryMB
-	listedInUpdate := w.listedInUpdate
-	d.resetWorker(w)
-	w.Endpoint = endpoint
-	w.memoryMB = memoryMB
-	w.listedInUpdate = listedInUpdate
-	w.lease.knownActiveAt = knownActiveAt
-	w.warmingUp = d.settings.SlowStartDuration > 0
-	d.resetSlowStartTokens(w)
-	d.recountSuspectedWorkers()
-	d.emit(RestartAssumed{Worker: w.ID})
-}
--- /dev/null
+++ b/dispatch/possiblerestarts.go
@@ -0,0 +1,176 @@
+package dispatch
+
+// This file decides which workers may have been restarted unseen, and limits the requests that they get:
+// worker.unproven, worker.trialTokens and worker.restartAssumed.
+//
+// The endpoint list tells when a worker was started, while it shows all changes that count as notified.
+// Otherwise only a connection tells: one that was opened before the list was last confirmed, and is still
+// open, leads to the process that was listed then. One that was opened later only shows since when its
+// process is running. A connection that this router has closed, because it was idle or had to make room,
+// shows nothing: a restart after that goes unseen. Neither does a response, which names no process.
+//
+// If contact with a worker was lost, a restart is likely, and the worker goes through slow start. A worker
+// that is merely unproven gets trials: as many requests as a restarted worker can take from all routers
+// together. Once it has responded to one as quickly as the others, it gets its whole share again. The other
+// requests go to other workers. Only if there is none to wait for, because no unproven worker has passed a
+// trial yet, a request goes to any that has no attempt of this router in flight.
+
+const (
+	// maxTrialRatio is how much longer than at other unproven workers a trial may take. A worker that has
+	// just been started takes longer by the reciprocal of its fraction of capacity, but no longer for a load.
+	maxTrialRatio  = 1.5
+	trialSmoothing = 0.2 // weight of one trial in the mean of all
+)
+
+// recordConnections records when the oldest open connection to a worker was opened.
+func (d *Dispatcher) recordConnections(e ConnectionsChanged) {
+	d.connectionsReported = true
+	if w := d.workers[e.Worker]; w != nil {
+		w.proof.connectedSince = e.OldestOpenedAt
+		d.updateUnproven(w)
+	}
+}
+
+// connectionsNeeded reports whether connections have to prove that workers were not restarted: the list may
+// not show all restarts that count as notified, and the settings have a slow start.
+func (d *Dispatcher) connectionsNeeded() bool {
+	hasSlowStart := d.settings.SlowStartDuration > 0 && d.settings.OverloadMultiple > 0
+	return d.connectionsReported && hasSlowStart && !d.listShowsNotifiedChanges()
+}
+
+// updateProofs updates which workers are unproven, whenever the list was confirmed, goes out of date or is
+// current again. While connections are needed, the caller keeps those that there are.
+func (d *Dispatcher) updateProofs() {
+	needed := d.connectionsNeeded()
+	if needed == d.proofsNeeded && d.list.confirmedAt == d.proofsUpdatedFor {
+		return
+	}
+	if needed != d.proofsNeeded {
+		d.trialRatio = 0
+		d.emit(KeepConnections{Keep: needed && d.settings.HealthChecksAllowed})
+	}
+	d.proofsNeeded = needed
+	d.proofsUpdatedFor = d.list.confirmedAt
+	for _, w := range d.activeWorkers {
+		d.endAssumedRestart(w)
+		d.updateUnproven(w)
+	}
+}
+
+// updateUnproven updates whether a worker may have been restarted unseen. The first trial comes at a random
+// time, because otherwise all routers would send theirs at the same time.
+func (d *Dispatcher) updateUnproven(w *worker) {
+	connected := w.proof.connectedSince > 0 && w.proof.connectedSince <= d.list.confirmedAt
+	unproven := d.connectionsNeeded() && !connected
+	if unproven == w.proof.unproven {
+		return
+	}
+	w.proof.unproven = unproven
+	if unproven {
+		w.proof.trialTokens = -d.random.Float64()
+		w.proof.trialsAt = d.acceptedCount
+		w.proof.trialPassed = false
+		w.proof.unprovenSince = d.now
+	}
+}
+
+// admitTrial reports whether an attempt may be started at a worker as far as it may have been restarted
+// unseen. It refills the tokens of an unproven worker: a part of an even share of the requests that this
+// router has accepted since.
+func (d *Dispatcher) admitTrial(w *worker) bool {
+	if !w.proof.unproven || w.proof.trialPassed {
+		return true
+	}
+	fraction := d.fractionIfRestarted(w)
+	if fraction == 1 {
+		return true
+	}
+	share := float64(d.acceptedCount-w.proof.trialsAt) / float64(max(len(d.activeWorkers), 1))
+	refill := float64(d.settings.OverloadMultiple * fraction * share)
+	w.proof.trialTokens = min(w.proof.trialTokens+refill, 1)
+	w.proof.trialsAt = d.acceptedCount
+	return w.proof.trialTokens > 0
+}
+
+// fractionIfRestarted returns the fraction of its capacity that an unproven worker has at least: its process
+// has been running since its oldest open connection was opened.
+func (d *Dispatcher) fractionIfRestarted(w *worker) float64 {
+	startedAt := d.now
+	if w.proof.connectedSince > 0 {
+		startedAt = w.proof.connectedSince
+	}
+	return d.fractionAfter(d.now - startedAt)
+}
+
+// recordTrial records the response of an unproven worker to an attempt. It passes if the attempt took about
+// as long as those at other unproven workers, compared with the expected time.
+func (d *Dispatcher) recordTrial(a *attempt, e AttemptEnded) {
+	w := a.worker
+	if !w.proof.unproven || a.startedAt < w.proof.unprovenSince {
+		return
+	}
+	ratio := e.Duration.Seconds() / max(a.expectedSeconds, minExpectedSeconds)
+	if d.trialRatio == 0 {
+		d.trialRatio = ratio
+	}
+	w.proof.trialPassed = w.proof.trialPassed || ratio <= maxTrialRatio*d.trialRatio
+	d.trialRatio = smooth(d.trialRatio, min(ratio, maxTrialRatio*d.trialRatio), trialSmoothing)
+}
+
+// evaluateUnproven stores an unproven worker without a trial left in the selection, if it may take the
+// request and no better one came before it: one that needs no health check is better.
+func (d *Dispatcher) evaluateUnproven(s *selection, w *worker) {
+	d.updateSuspicion(w)
+	leased := d.holdsLease(w)
+	if len(w.attempts) > 0 || d.isUnfit(s.request, w) || !leased && !d.mayCheckLease(s.request, w) {
+		return
+	}
+	if s.unproven == nil || leased && !d.holdsLease(s.unproven) {
+		s.unproven = w
+	}
+}
+
+// recordContactLoss records that a worker may have stopped: a connection to it failed, or it reported that
+// it drains.
+func (d *Dispatcher) recordContactLoss(w *worker) {
+	w.lease.lostContactAt = d.now
+}
+
+// handlePossibleRestart resets a worker that responds again after a loss of contact and starts its slow
+// start, if the endpoint list is too old to show whether the worker was restarted. The slow start ends early
+// when the list is current again and shows no restart. False positives: a worker that only lost its
+// connections, or ended a drain without a restart, gets less work until then.
+func (d *Dispatcher) handlePossibleRestart(w *worker) {
+	isBack := w.lease.knownActiveAt > w.lease.lostContactAt
+	lostSinceConfirmed := w.lease.lostContactAt > d.list.confirmedAt
+	if d.listIsCurrent() || !isBack || !lostSinceConfirmed {
+		return
+	}
+	d.requeueWaiting(w)
+	knownActiveAt := w.lease.knownActiveAt
+	endpoint := w.Endpoint
+	endpoint.StartedAt = d.now
+	memoryMB := w.memoryMB
+	listedInUpdate := w.listedInUpdate
+	d.resetWorker(w)
+	w.Endpoint = endpoint
+	w.memoryMB = memoryMB
+	w.listedInUpdate = listedInUpdate
+	w.lease.knownActiveAt = knownActiveAt
+	w.proof.restartAssumed = true
+	w.warmingUp = d.settings.SlowStartDuration > 0
+	d.resetSlowStartTokens(w)
+	d.recountSuspectedWorkers()
+	d.emit(RestartAssumed{Worker: w.ID})
+}
+
+// endAssumedRestart ends the slow start of a worker that was assumed to have been restarted, once the list is
+// confirmed for a later time: it would show the restart.
+func (d *Dispatcher) endAssumedRestart(w *worker) {
+	if !w.proof.restartAssumed || !d.listShowsNotifiedChanges() || w.StartedAt > d.list.confirmedAt {
+		return
+	}
+	w.proof.restartAssumed = false
+	w.StartedAt = w.identity.endpoint.StartedAt
+	d.updateWarmingUp(w)
+}
--- /dev/null
+++ b/dispatch/possiblerestarts_test.go
@@ -0,0 +1,287 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestProofOfProcess checks which connections prove that a worker was not restarted, for the list and the connection as
+// they are when a request arrives.
+func TestProofOfProcess(t *testing.T) {
+	for name, test := range map[string]struct {
+		change   func(h *leaseHarness)
+		unproven bool
+	}{
+		"connection older than the list": {func(*leaseHarness) {}, false},
+		"closed by this router":          {func(h *leaseHarness) { h.reportConnections(0) }, true},
+		"opened later":                   {func(h *leaseHarness) { h.reportConnections(h.confirmedAt + 1) }, true},
+		"opened a whole slow start ago": {func(h *leaseHarness) {
+			h.reportConnections(h.now)
+			h.advance(h.dispatcher.settings.SlowStartDuration)
+		}, true},
+		"list confirmed since": {func(h *leaseHarness) {
+			h.reportConnections(h.now)
+			h.advance(time.Second)
+			h.confirm()
+		}, false},
+		"list confirmed late, for a time before": {func(h *leaseHarness) {
+			h.reportConnections(h.now)
+			h.step(EndpointListConfirmed{At: h.confirmedAt + harnessTick})
+		}, true},
+		"list asked for again, without an answer": {func(h *leaseHarness) {
+			h.confirm()
+			h.advance(harnessTick)
+			h.reportConnections(0)
+			h.step(EndpointListRequested{At: h.now})
+			h.advance(harnessTick)
+		}, true},
+		"paused while the list was current": {func(h *leaseHarness) {
+			h.confirm()
+			h.reportConnections(0)
+			h.now += time.Second
+			h.step()
+		}, true},
+		"caller does not report connections": {func(h *leaseHarness) { h.dispatcher.connectionsReported = false }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newLeaseHarness(t, nil)
+			h.reportConnections(h.confirmedAt)
+			h.expireListLease()
+			test.change(h)
+			_, actions := h.request("f", classIdempotent)
+			if attempt := h.onlyAttempt(h.answerLeaseChecks(actions)); attempt.Unproven != test.unproven {
+				t.Errorf("unproven: %v, want %v", attempt.Unproven, test.unproven)
+			}
+		})
+	}
+}
+
+// reportConnections reports the same connections to all workers.
+func (h *leaseHarness) reportConnections(openedAt time.Duration) {
+	h.t.Helper()
+	for _, id := range []string{"w1", "w2", "w3"} {
+		h.step(ConnectionsChanged{Worker: id, OldestOpenedAt: openedAt})
+	}
+}
+
+// TestConnectionsAreKeptWhileNeeded guards against the loss of all evidence in an outage of discovery: a router closed its
+// idle connections, so that a restart went unseen.
+func TestConnectionsAreKeptWhileNeeded(t *testing.T) {
+	h := newLeaseHarness(t, nil)
+	h.reportConnections(h.confirmedAt)
+	if kept := actionsOf[KeepConnections](h.advance(lossNotificationDelay)); !slices.Equal(kept, []KeepConnections{{Keep: true}}) {
+		t.Errorf("%v, want connections to be kept once", kept)
+	}
+	if kept := actionsOf[KeepConnections](h.confirm()); !slices.Equal(kept, []KeepConnections{{Keep: false}}) {
+		t.Errorf("%v, want connections no longer to be kept", kept)
+	}
+}
+
+// TestConfirmedListEndsAssumedRestart guards against a slow start that goes on after an outage, although the list shows
+// no restart: discovery sends no update of a worker that has not changed.
+func TestConfirmedListEndsAssumedRestart(t *testing.T) {
+	h := newLeaseHarness(t, nil)
+	h.expireListLease()
+	h.step(ConnectionLost{Worker: "w2"})
+	h.advance(harnessTick)
+	h.step(HealthChecked{Worker: "w2", LoadReport: NoLoadReport})
+	w := h.dispatcher.workers["w2"]
+	if !w.warmingUp {
+		t.Fatal("not in slow start after a loss of contact")
+	}
+	h.advance(harnessTick)
+	h.confirm()
+	if w.warmingUp {
+		t.Error("still in slow start after the list was confirmed")
+	}
+}
+
+// The timeline of an outage with an unseen restart. Calls come until quietFrom and again after the restart.
+const (
+	outageRouters     = 100
+	outageWorkers     = 16
+	quietFrom         = 9 * time.Second
+	idleClosedAt      = quietFrom + 7500*time.Millisecond
+	lastConfirmedAt   = idleClosedAt + time.Second
+	restartedAt       = lastConfirmedAt + 2500*time.Millisecond
+	outageEnd         = restartedAt + 5*time.Second
+	warmResponse      = 150 * time.Millisecond
+	capacityOfWorkers = 5.0 / 0.15 // requests per second of each
+)
+
+// outageRouter is one router of the fleet, with its connections to the workers.
+type outageRouter struct {
+	t          *testing.T
+	rng        *rand.Rand
+	rate       float64 // requests per second
+	restarted  string  // the worker that is restarted, or ""
+	dispatcher *Dispatcher
+	now        time.Duration
+	queue      []dueEvent // sorted by time
+	connected  map[string]bool
+	attempts   map[RequestID]int
+	lastID     RequestID
+	served     int             // requests that came after the restart
+	arrivals   []time.Duration // attempts at the restarted worker since its restart
+}
+
+func (r *outageRouter) schedule(at time.Duration, e Event) {
+	i, _ := slices.BinarySearchFunc(r.queue, at, func(queued dueEvent, at time.Duration) int {
+		if queued.at <= at {
+			return -1
+		}
+		return 1
+	})
+	r.queue = slices.Insert(r.queue, i, dueEvent{at, e})
+}
+
+// run plays the timeline for one router and returns the number of requests that came after the restart.
+func (r *outageRouter) run(s Settings) (late int) {
+	r.t.Helper()
+	var err error
+	if r.dispatcher, err = New(s, r.rng.Uint64()); err != nil {
+		r.t.Fatal(err)
+	}
+	var list []Endpoint
+	for w := range outageWorkers {
+		list = append(list, Endpoint{ID: fmt.Sprint("w", w), Kind: "big"})
+	}
+	r.now = time.Second
+	r.step(EndpointUpdate{Snapshot: true, Endpoints: list}, EndpointListConfirmed{At: r.now})
+	for at := r.now; at <= lastConfirmedAt; at += time.Second / 2 {
+		r.schedule(at, EndpointListConfirmed{At: at})
+	}
+	for _, e := range list {
+		r.schedule(idleClosedAt, ConnectionsChanged{Worker: e.ID})
+	}
+	next := func(at time.Duration) time.Duration {
+		return at + time.Duration(r.rng.ExpFloat64()/r.rate*float64(time.Second))
+	}
+	for at := next(r.now); at < quietFrom; at = next(at) {
+		r.schedule(at, r.newRequest())
+	}
+	for at := next(restartedAt); at < outageEnd; at = next(at) {
+		r.schedule(at, r.newRequest())
+		late++
+	}
+	for len(r.queue) > 0 && r.queue[0].at < outageEnd+3*time.Second {
+		due := r.queue[0]
+		r.queue = r.queue[1:]
+		r.now = max(r.now, due.at)
+		r.step(due.event)
+	}
+	return late
+}
+
+func (r *outageRouter) newRequest() Request {
+	r.lastID++
+	return Request{ID: r.lastID, Function: fmt.Sprint("f", r.rng.IntN(60)), Class: classIdempotent, MemoryMB: 300,
+		ConcurrencyPerInstance: 2, RemainingDeadline: 3 * time.Second}
+}
+
+// step passes events to the router and executes the resulting actions.
+func (r *outageRouter) step(events ...Event) {
+	for _, e := range events {
+		if closed, ok := e.(ConnectionsChanged); ok && closed.OldestOpenedAt == 0 {
+			r.connected[closed.Worker] = false
+		}
+	}
+	for _, a := range r.dispatcher.Step(r.now, events) {
+		switch a := a.(type) {
+		case StartAttempt:
+			r.connect(a.Worker)
+			r.answer(a)
+		case CheckHealth:
+			r.connect(a.Worker)
+			r.schedule(r.now+time.Millisecond, HealthChecked{Worker: a.Worker, Duration: time.Millisecond, LoadReport: NoLoadReport})
+		case SetTimer:
+			r.schedule(r.now+a.After, TimerFired{})
+		}
+	}
+}
+
+// connect opens a connection to a worker, if there is none.
+func (r *outageRouter) connect(worker string) {
+	if !r.connected[worker] {
+		r.connected[worker] = true
+		r.schedule(r.now, ConnectionsChanged{Worker: worker, OldestOpenedAt: r.now})
+	}
+}
+
+// answer schedules the response to an attempt. A restarted worker takes longer.
+func (r *outageRouter) answer(a StartAttempt) {
+	took := time.Duration(float64(warmResponse) * (0.6 + float64(0.8*r.rng.Float64())))
+	if r.now >= restartedAt {
+		r.served++
+	}
+	if a.Worker == r.restarted && r.now >= restartedAt {
+		r.arrivals = append(r.arrivals, r.now)
+		took = time.Duration(float64(took) / r.dispatcher.fractionAfter(r.now-restartedAt))
+	}
+	outcome := outcomeOf(OK, took)
+	outcome.ID, outcome.Attempt, outcome.Worker, outcome.Final = a.ID, r.attempts[a.ID], a.Worker, true
+	r.attempts[a.ID]++
+	r.schedule(r.now+took, outcome)
+}
+
+// playOutage plays the timeline for a fleet. It returns the attempts at the restarted worker, the fraction of the
+// requests that were served of those that came after the restart, and the settings.
+func playOutage(t *testing.T, seed uint64, load float64, restarted string) (arrivals []time.Duration, served float64, s Settings) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 0))
+	s = testSettings()
+	s.Routers, s.WorkersLoadOnMiss, s.LoadCommandsAllowed = outageRouters, true, false
+	s.DrainGrace, s.MaxRetryAfter = testDrainGrace, time.Second
+	started, late := 0, 0
+	for range outageRouters {
+		r := &outageRouter{t: t, rng: rng, rate: load * outageWorkers * capacityOfWorkers / outageRouters, restarted: restarted,
+			connected: map[string]bool{}, attempts: map[RequestID]int{}}
+		late += r.run(s)
+		started += r.served
+		arrivals = append(arrivals, r.arrivals...)
+	}
+	slices.Sort(arrivals)
+	return arrivals, float64(started) / float64(late), s
+}
+
+// TestUnseenRestartKeepsToSlowStart guards against an overload of a worker that was restarted while discovery was out of
+// reach and the routers had closed their connections to it as idle: they took it for warm and sent its whole share.
+func TestUnseenRestartKeepsToSlowStart(t *testing.T) {
+	for _, load := range []float64{0.8, 1.2} {
+		worst := 0.0
+		for seed := range uint64(8) {
+			arrivals, _, s := playOutage(t, seed, load, fmt.Sprint("w", seed))
+			first := 0
+			for i, at := range arrivals {
+				for at-arrivals[first] > s.OverloadWindow {
+					first++
+				}
+				progress := float64(at-restartedAt) / float64(s.SlowStartDuration)
+				share := s.SlowStartShare + (1-s.SlowStartShare)*progress
+				bound := slowStartBound(s.OverloadMultiple * share * capacityOfWorkers * s.OverloadWindow.Seconds())
+				worst = max(worst, float64(i-first+1)/bound)
+			}
+			if len(arrivals) == 0 {
+				t.Errorf("load %v, seed %d: no attempt at the restarted worker", load, seed)
+			}
+		}
+		t.Logf("load %v: at worst %.2f of the bound", load, worst)
+		if worst > 1 {
+			t.Errorf("load %v: the restarted worker got %.2f times its bound", load, worst)
+		}
+	}
+}
+
+// TestSoundFleetIsServedWithoutProofs guards against a protection from unseen restarts that costs calls when there was
+// none: the routers have no connection that proves anything, to any worker, and still serve each request.
+func TestSoundFleetIsServedWithoutProofs(t *testing.T) {
+	const load = 0.8
+	for seed := range uint64(3) {
+		if _, served, _ := playOutage(t, seed, load, ""); served < 1 {
+			t.Errorf("seed %d: %.4f of the requests started, want all", seed, served)
+		}
+	}
+}
--- a/dispatch/selection.go
+++ b/dispatch/selection.go
@@ -28,6 +28,7 @@
 	backingOff        bool    // a worker was passed over because a load failed there
 	unleased          *worker // the first that may take the request once a health check has renewed its lease
 	unleasedResident  bool    // unleased holds the function
+	unproven          *worker // the best of those that have no trial left, see evaluateUnproven
 }
 
 // selectWorker returns the worker for a request, or nil if the request has to wait. If the worker holds no
@@ -43,6 +44,10 @@
 		if !d.admitAttempt(r, w) {
 			continue
 		}
+		if !d.admitTrial(w) {
+			d.evaluateUnproven(&s, w)
+			continue
+		}
 		if !d.holdsLease(w) {
 			d.evaluateUnleased(&s, w)
 			continue
@@ -87,7 +92,7 @@
 	}
 	nothingToWaitFor := s.preferred == nil && !s.limited && !s.backingOff
 	if nothingToWaitFor {
-		return cmp.Or(s.fallback, s.overloaded)
+		return cmp.Or(s.unproven, s.fallback, s.overloaded)
 	}
 	return s.preferred
 }
--- a/dispatch/slowstart.go
+++ b/dispatch/slowstart.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // This file implements slow start: worker.warmingUp and worker.slowStartTokens.
 
 // minSlowStartFraction keeps the rate of a token bucket above zero if the settings give a starting worker no
@@ -11,11 +13,25 @@
 	if !w.warmingUp || d.settings.SlowStartDuration == 0 {
 		return 1
 	}
-	progress := max(0, float64(d.now-w.StartedAt)/float64(d.settings.SlowStartDuration))
+	return d.fractionAfter(d.now - w.StartedAt)
+}
+
+// fractionAfter returns the minimum fraction of its capacity that a worker has some time after its start.
+func (d *Dispatcher) fractionAfter(age time.Duration) float64 {
+	progress := max(0, float64(age)/float64(d.settings.SlowStartDuration))
 	fraction := d.settings.SlowStartShare + float64((1-d.settings.SlowStartShare)*progress)
 	return min(max(fraction, minSlowStartFraction), 1)
 }
 
+// updateWarmingUp updates whether a worker is in slow start.
+func (d *Dispatcher) updateWarmingUp(w *worker) {
+	warmingUp := w.StartedAt > 0 && d.now-w.StartedAt < d.settings.SlowStartDuration
+	if warmingUp != w.warmingUp {
+		w.warmingUp = warmingUp
+		d.resetSlowStartTokens(w)
+	}
+}
+
 // slowStartAllowsAttempt reports whether slow start allows an attempt at a worker. If the worker is warming
 // up, its token bucket is refilled first. The refill rate is this router's part of the work that the worker
 // can take: an even share of the work that this router has served, times the minimum fraction of its capacity
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -19,6 +19,10 @@
 	timerDue time.Duration // when the last SetTimer fires; 0 means that no timer is set
 
 	list                endpointList
+	connectionsReported bool          // the caller reports its connections
+	proofsNeeded        bool          // connections have to prove that workers were not restarted
+	trialRatio          float64       // mean ratio of the time of a trial to the expected time; 0 means unknown
+	proofsUpdatedFor    time.Duration // the confirmation of the list for which worker.proof was last updated
 	workers             map[string]*worker
 	activeWorkers       []*worker          // those that may get attempts, sorted by id
 	suspectedCount      int                // number of suspected workers in activeWorkers
@@ -37,6 +41,7 @@
 	requests       map[RequestID]*request
 	pending        []*request // those that wait for an available worker
 	selectionCount int        // number of calls of selectWorker so far
+	acceptedCount  int        // number of requests accepted so far
 
 	// Sliding windows of the load rate limit.
 	requestTimes     []time.Duration
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -29,6 +29,7 @@
 	awaitingReport   []*request    // requests that wait for its next load report
 
 	lease workerLease
+	proof workerProof
 
 	identity           *workerIdentity
 	notConnectedBefore time.Duration // no connection to it was opened before this time; 0 means unknown
@@ -53,6 +54,17 @@
 	awaiting      []*request // requests that wait for that health check
 }
 
+// workerProof is the evidence of the process at a worker's address.
+type workerProof struct {
+	connectedSince time.Duration // when the oldest open connection was opened; 0 means that there is none
+	unproven       bool          // it may have been restarted unseen
+	restartAssumed bool          // it is in slow start because it may have been restarted, not by the list
+	trialTokens    float64       // attempts that it may get while it is unproven
+	trialsAt       int           // Dispatcher.acceptedCount when trialTokens was last refilled
+	trialPassed    bool          // it has responded quickly to an attempt since it is unproven
+	unprovenSince  time.Duration
+}
+
 // ejection stops the requests of one class to a worker until a time.
 type ejection struct {
 	until               time.Duration
@@ -72,6 +84,8 @@
 	fresh.lastResponseAt = d.now
 	fresh.identity = w.identity
 	fresh.notConnectedBefore = w.notConnectedBefore
+	fresh.proof = w.proof
+	fresh.proof.restartAssumed = false
 	*w = *fresh
 }
 
@@ -170,6 +184,7 @@
 		d.activeWorkers = slices.DeleteFunc(d.activeWorkers, func(w *worker) bool { return !w.active })
 	}
 	for _, w := range added {
+		d.updateUnproven(w)
 		i, _ := slices.BinarySearchFunc(d.activeWorkers, w, compareWorkerIDs)
 		d.activeWorkers = slices.Insert(d.activeWorkers, i, w)
 	}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -30,6 +30,7 @@
 		Remaining:       remaining,
 		SendBefore:      r.timeAt(action.SendBefore),
 		ConnectedBefore: r.timeAt(action.ConnectedBefore),
+		Unproven:        action.Unproven,
 	})
 }
 
@@ -50,9 +51,12 @@
 	call := a.call
 	r.stats.Attempts++
 	r.stats.AttemptsInFlight++
+	if limits.Unproven {
+		r.stats.UnprovenAttempts++
+	}
 	if r.debug {
 		r.cfg.Logger.Debug("attempt started", "call", call.id, "client_id", call.submitted.ClientID, "attempt", a.number,
-			"endpoint", a.worker, "class", call.submitted.Class)
+			"endpoint", a.worker, "class", call.submitted.Class, "unproven", limits.Unproven)
 	}
 	if a.number > 0 {
 		r.stats.Causes.Retries[call.attempts[a.number-1].result]++
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -64,6 +64,15 @@
 	r.post(func() { r.events = append(r.events, dispatch.ConnectionLost{Worker: worker}) })
 }
 
+// ConnectionsChanged records when the oldest open connection to a worker was opened; the zero time means that there is
+// none. Calls for the same worker must be made in the order of the changes.
+func (r *Router) ConnectionsChanged(worker string, oldestOpenedAt time.Time) {
+	openedAt := r.timeOf(oldestOpenedAt)
+	r.post(func() {
+		r.events = append(r.events, dispatch.ConnectionsChanged{Worker: worker, OldestOpenedAt: openedAt})
+	})
+}
+
 // stepEndpoints passes changes of the merged endpoint list to the upstream and the dispatcher, and starts the due
 // health checks of draining workers.
 func (r *Router) stepEndpoints() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -272,6 +272,8 @@
 		r.checkHealth(action)
 	case dispatch.EndpointListStateChanged:
 		r.endpointListStateChanged(action)
+	case dispatch.KeepConnections:
+		r.upstream.KeepConnections(action.Keep)
 	case dispatch.RestartAssumed:
 		r.restartAssumed(action)
 	case dispatch.SetTimer:
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -54,6 +54,7 @@
 	done(LoadResult{Result: dispatch.OK, Copies: copies})
 }
 
+func (u *fakeUpstream) KeepConnections(bool) {}
 func (u *fakeUpstream) CheckHealth(worker string, _ time.Duration, done func(HealthResult)) {
 	result := dispatch.OK
 	if u.isDead(worker) {
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -65,6 +65,7 @@
 	return endedAttempt{}
 }
 func (hungUpstream) LoadFunction(string, string, int, SendLimits, func(LoadResult)) {}
+func (hungUpstream) KeepConnections(bool)                                           {}
 func (hungUpstream) CheckHealth(string, time.Duration, func(HealthResult))          {}
 func (hungUpstream) UpdateEndpoints([]endpoints.Worker)                             {}
 
--- a/internal/router/stats.go
+++ b/internal/router/stats.go
@@ -31,7 +31,9 @@
 	ListAge        time.Duration `json:"ListAge"`        // time since the list was last confirmed; 0 if it never was
 
 	// RestartsAssumed counts slow starts that began because a worker may have been restarted unseen.
-	RestartsAssumed uint64 `json:"RestartsAssumed"`
+	RestartsAssumed uint64 `json:"-"`
+	// UnprovenAttempts counts attempts at workers that may have been restarted unseen.
+	UnprovenAttempts uint64 `json:"-"`
 }
 
 // Causes counts the causes of the dispatcher's decisions.
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -19,6 +19,9 @@
 	// CheckHealth requests a worker's readiness and load, and calls done once with the result, at the latest after
 	// timeout.
 	CheckHealth(worker string, timeout time.Duration, done func(HealthResult))
+	// KeepConnections sets whether idle connections to workers are kept. The upstream reports each change of the oldest
+	// open connection to a worker by Router.ConnectionsChanged.
+	KeepConnections(keep bool)
 	// UpdateEndpoints passes the workers that were added to the endpoint list, changed in it or removed from it. A
 	// removed worker gets no new connections; a worker that isn't active gets no new attempts.
 	UpdateEndpoints(changed []endpoints.Worker)
@@ -32,6 +35,8 @@
 	// ConnectedBefore is when the connection must have been opened at the latest, else the result is NotSent; zero means
 	// no limit. It applies to attempts.
 	ConnectedBefore time.Time
+
+	Unproven bool // the worker may have been restarted unseen; for statistics and logs
 }
 
 // Expired reports whether it is too late to write the first byte.
--- a/internal/server/grpcserver/harness_test.go
+++ b/internal/server/grpcserver/harness_test.go
@@ -69,6 +69,7 @@
 	return endedAttempt{}
 }
 func (*echoUpstream) LoadFunction(string, string, int, router.SendLimits, func(router.LoadResult)) {}
+func (*echoUpstream) KeepConnections(bool)                                                         {}
 func (*echoUpstream) CheckHealth(string, time.Duration, func(router.HealthResult))                 {}
 func (*echoUpstream) UpdateEndpoints([]endpoints.Worker)                                           {}
 
--- a/internal/server/httpserver/harness_test.go
+++ b/internal/server/httpserver/harness_test.go
@@ -86,6 +86,7 @@
 }
 func (u *echoUpstream) LoadFunction(string, string, int, router.SendLimits, func(router.LoadResult)) {
 }
+func (u *echoUpstream) KeepConnections(bool)                                         {}
 func (u *echoUpstream) CheckHealth(string, time.Duration, func(router.HealthResult)) {}
 func (u *echoUpstream) UpdateEndpoints([]endpoints.Worker)                           {}
 
--- a/internal/upstream/grpcupstream/conn.go
+++ b/internal/upstream/grpcupstream/conn.go
@@ -90,6 +90,7 @@
 	stale := p.closed || p.workers[w.id] != w || w.addr != addr
 	if err == nil && !stale && !handler.noNewStreams {
 		w.conns = append(w.conns, c)
+		p.reportConns(w)
 	}
 	p.mu.Unlock()
 	if err == nil && stale {
@@ -133,17 +134,23 @@
 	}
 }
 
-// ConnClosed implements http2.Handler.
+// ConnClosed implements http2.Handler. If the connection could still carry new streams, it was lost: the worker closed it,
+// its process ended, or the network failed.
 func (h *connHandler) ConnClosed(c *http2.Conn, err error) {
-	h.removeConn(c)
+	lost := h.removeConn(c)
 	h.pool.mu.Lock()
-	defer h.pool.mu.Unlock()
 	h.connClosed = true
 	delete(h.pool.open, c)
+	closing := h.pool.closed
+	h.pool.mu.Unlock()
+	if lost && !closing {
+		h.pool.router.WorkerConnectionLost(h.worker.id)
+	}
 }
 
-// removeConn removes the connection from the worker's list. If dial has not added it yet, noNewStreams prevents it.
-func (h *connHandler) removeConn(c *http2.Conn) {
+// removeConn removes the connection from the worker's list, and reports whether it was there. If dial has not added it
+// yet, noNewStreams prevents it.
+func (h *connHandler) removeConn(c *http2.Conn) (found bool) {
 	h.pool.mu.Lock()
 	defer h.pool.mu.Unlock()
 	h.noNewStreams = true
@@ -151,7 +158,9 @@
 	for i, other := range h.worker.conns {
 		if other == c {
 			h.worker.conns = append(h.worker.conns[:i], h.worker.conns[i+1:]...)
-			return
+			h.pool.reportConns(h.worker)
+			return true
 		}
 	}
+	return false
 }
--- a/internal/upstream/grpcupstream/harness_test.go
+++ b/internal/upstream/grpcupstream/harness_test.go
@@ -28,8 +28,10 @@
 	ended    chan dispatch.AttemptEnded
 	started  int         // number of responses that started; guarded by mu
 	draining chan string // IDs of workers that began to drain
-	cancel   bool        // cancel each attempt at once
-	retries  int         // number of rejected attempts that may still be retried
+	lost     chan string // IDs of workers that a connection was lost to; others are dropped if it is full
+	changed  chan dispatch.ConnectionsChanged
+	cancel   bool // cancel each attempt at once
+	retries  int  // number of rejected attempts that may still be retried
 }
 
 func (d *testDispatcher) Step(_ time.Duration, events []dispatch.Event) (out []dispatch.Action) {
@@ -52,6 +54,16 @@
 			} else if !e.Final {
 				out = append(out, dispatch.FailRequest{ID: e.ID})
 			}
+		case dispatch.ConnectionLost:
+			select {
+			case d.lost <- e.Worker:
+			default:
+			}
+		case dispatch.ConnectionsChanged:
+			select {
+			case d.changed <- e:
+			default:
+			}
 		case dispatch.EndpointUpdate:
 			for _, endpoint := range e.Endpoints {
 				if endpoint.State == dispatch.EndpointDraining {
@@ -101,9 +113,19 @@
 // newTestRouterAndPool is like newTestRouter, but connections are opened by dialer.
 func newTestRouterAndPool(t *testing.T, addr string, dialer dialFunc) (*router.Router, *testDispatcher, *Pool) {
 	t.Helper()
-	dispatcher := &testDispatcher{ended: make(chan dispatch.AttemptEnded, 16), draining: make(chan string, 16)}
+	dispatcher := &testDispatcher{ended: make(chan dispatch.AttemptEnded, 16), draining: make(chan string, 16),
+		lost: make(chan string, 16), changed: make(chan dispatch.ConnectionsChanged, 16)}
 	pool := New(Config{RouterName: "r", ConnectTimeout: 300 * time.Millisecond, MaxConnsPerWorker: 1, MaxMessageBytes: 1 << 20})
 	pool.dialer = dialer
+	r := attachTestRouter(t, pool, dispatcher)
+	r.SetEndpoints([]endpoints.Worker{{Endpoint: dispatch.Endpoint{ID: "w"}, Address: addr}})
+	t.Cleanup(func() { r.Kill(); pool.Close() })
+	return r, dispatcher, pool
+}
+
+// attachTestRouter starts a router with the dispatcher and attaches it to the pool. The caller ends it.
+func attachTestRouter(t *testing.T, pool *Pool, dispatcher *testDispatcher) *router.Router {
+	t.Helper()
 	r, err := router.New(router.Config{Name: "r", LoadTimeout: time.Second, HealthCheckTimeout: time.Second,
 		Endpoints:     endpoints.Settings{CheckInterval: time.Hour},
 		NewDispatcher: func(dispatch.Settings, uint64) (router.Dispatcher, error) { return dispatcher, nil }}, pool)
@@ -111,9 +133,7 @@
 		t.Fatal(err)
 	}
 	pool.Attach(r)
-	r.SetEndpoints([]endpoints.Worker{{Endpoint: dispatch.Endpoint{ID: "w"}, Address: addr}})
-	t.Cleanup(func() { r.Kill(); pool.Close() })
-	return r, dispatcher, pool
+	return r
 }
 
 // testMessage returns a message with its gRPC prefix.
@@ -146,7 +166,8 @@
 	t.Helper()
 	cfg.RouterName, cfg.MaxConnsPerWorker, cfg.MaxMessageBytes = "r", 1, 1<<20
 	pool := New(cfg)
-	t.Cleanup(pool.Close)
+	r := attachTestRouter(t, pool, &testDispatcher{})
+	t.Cleanup(func() { pool.Close(); r.Kill() })
 	pool.UpdateEndpoints([]endpoints.Worker{{Endpoint: dispatch.Endpoint{ID: "w"}, Address: addr}})
 	return pool
 }
--- a/internal/upstream/grpcupstream/idle.go
+++ b/internal/upstream/grpcupstream/idle.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// KeepConnections implements router.Upstream. While connections are kept, none is closed because it is idle.
+func (p *Pool) KeepConnections(keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep = keep
+}
+
 // removeIdle removes the connections that have had no stream for longer than the idle timeout, and returns them. If a
 // call has just chosen one of them, its openStream fails and the call waits for a new connection.
 func (p *Pool) removeIdle(now time.Time) (expired []*http2.Conn) {
@@ -33,7 +40,7 @@
 	for _, w := range p.workers {
 		kept := w.conns[:0]
 		for _, c := range w.conns {
-			if w.idleFor(c, now) > p.config.IdleTimeout {
+			if w.idleFor(c, now) > p.config.IdleTimeout && !p.keep {
 				delete(w.idleSince, c)
 				expired = append(expired, c)
 			} else {
@@ -42,6 +49,7 @@
 		}
 		clear(w.conns[len(kept):])
 		w.conns = kept
+		p.reportConns(w)
 	}
 	return expired
 }
--- a/internal/upstream/grpcupstream/idle_test.go
+++ b/internal/upstream/grpcupstream/idle_test.go
@@ -51,6 +51,51 @@
 	}
 }
 
+// TestLostConnectionIsReported guards against a restart of a worker that goes unseen: the end of an idle connection that
+// this router has not closed must reach the dispatcher, and so must the changes of the oldest connection.
+func TestLostConnectionIsReported(t *testing.T) {
+	accepted := make(chan *scriptedStream, 1)
+	r, dispatcher := newTestRouter(t, startScriptedWorker(t, func(s *scriptedStream) { accepted <- s }))
+	_ = submit(t, r, false, time.Minute)
+	stream := testsupport.Await(t, accepted, "the request")
+	if opened := testsupport.Await(t, dispatcher.changed, "the report of the connection"); opened.OldestOpenedAt == 0 {
+		t.Errorf("%+v, want when it was opened", opened)
+	}
+	_ = stream.conn.Close()
+	if worker := testsupport.Await(t, dispatcher.lost, "the report of the loss"); worker != "w" {
+		t.Errorf("lost a connection to %q", worker)
+	}
+	if closed := testsupport.Await(t, dispatcher.changed, "the report that none is left"); closed.OldestOpenedAt != 0 {
+		t.Errorf("%+v, want no connection", closed)
+	}
+}
+
+// TestIdleConnectionsAreKept checks that no connection is closed as idle while its end would be the only sign of a
+// restart.
+func TestIdleConnectionsAreKept(t *testing.T) {
+	pool := newTestPool(t, startGRPCGoWorker(t), Config{ConnectTimeout: 10 * time.Second, IdleTimeout: time.Hour})
+	checked := make(chan router.HealthResult, 1)
+	pool.CheckHealth("w", 10*time.Second, func(result router.HealthResult) { checked <- result })
+	testsupport.Await(t, checked, "the health check result")
+	now := time.Now()
+	testsupport.WaitUntil(t, "the connection is idle", func() bool {
+		pool.removeIdle(now)
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		return len(pool.workers["w"].idleSince) > 0
+	})
+	pool.KeepConnections(true)
+	if expired := pool.removeIdle(now.Add(2 * time.Hour)); len(expired) != 0 {
+		t.Error("a connection that is kept expired")
+	}
+	pool.KeepConnections(false)
+	expired := pool.removeIdle(now.Add(2 * time.Hour))
+	if len(expired) != 1 {
+		t.Errorf("%d connections expired, want 1", len(expired))
+	}
+	closeAll(expired)
+}
+
 func closeAll(conns []*http2.Conn) {
 	for _, c := range conns {
 		c.Shutdown()
--- a/internal/upstream/grpcupstream/pool.go
+++ b/internal/upstream/grpcupstream/pool.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex               // guards the fields below and those of the workers
 	workers map[string]*worker       // by ID
 	open    map[*http2.Conn]struct{} // connections that are not closed, including draining ones
+	keep    bool                     // idle connections are kept
 	closed  bool                     // Close was called
 	stop    chan struct{}            // closed by Close
 }
@@ -55,6 +56,8 @@
 	idleSince  map[*http2.Conn]time.Time // idle connections, with the time of the first sweep that found them idle
 	connecting int                       // number of connects in progress, at most 1
 	waiting    []outgoingCall            // calls that wait for the connect in progress
+
+	reportedOldest time.Time // what reportConns last reported
 }
 
 func newWorker(id, addr string) *worker {
@@ -94,6 +97,8 @@
 		case endpoint.State == dispatch.EndpointRemoved:
 			if w != nil {
 				stale = append(stale, w.conns...)
+				w.conns = nil
+				p.reportConns(w)
 				delete(p.workers, id)
 			}
 		case w == nil:
@@ -102,6 +107,7 @@
 			stale = append(stale, w.conns...)
 			w.addr, w.conns = addr, nil
 			clear(w.idleSince)
+			p.reportConns(w)
 		}
 	}
 	p.mu.Unlock()
@@ -110,6 +116,24 @@
 	}
 }
 
+// reportConns reports to the router when the oldest connection to a worker was opened that may carry new streams. The
+// caller holds the pool's lock, so that the reports keep their order.
+func (p *Pool) reportConns(w *worker) {
+	if p.workers[w.id] != w {
+		return // the id may stand for another process
+	}
+	var oldest time.Time
+	for _, c := range w.conns {
+		if oldest.IsZero() || c.OpenedAt().Before(oldest) {
+			oldest = c.OpenedAt()
+		}
+	}
+	if !oldest.Equal(w.reportedOldest) {
+		w.reportedOldest = oldest
+		p.router.ConnectionsChanged(w.id, oldest)
+	}
+}
+
 // Close closes all connections, which ends their streams.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/upstream/respupstream/conn.go
+++ b/internal/upstream/respupstream/conn.go
@@ -82,6 +82,7 @@
 			break
 		}
 	}
+	c.pool.reportConns(c.worker)
 }
 
 // remove removes an exchange that has ended, and queues one that waits for a connection if the connection is free
--- a/internal/upstream/respupstream/dial.go
+++ b/internal/upstream/respupstream/dial.go
@@ -43,6 +43,7 @@
 		c.draining = w.removed || p.closed
 		if !c.draining {
 			w.conns = append(w.conns, c)
+			p.reportConns(w)
 		}
 		c.enqueueWaiting()
 	}
--- a/internal/upstream/respupstream/exchange.go
+++ b/internal/upstream/respupstream/exchange.go
@@ -128,16 +128,26 @@
 // times attempts.
 func (p *Pool) startWithTimeout(x *exchange, workerID string, timeout time.Duration) {
 	p.mu.Lock()
+	p.assignControlID(x)
+	p.startTimeout(x, timeout)
+	p.mu.Unlock()
+	p.start(x, workerID)
+}
+
+// assignControlID gives a load command or a health check an id that the pool has not used before. The lock is held.
+func (p *Pool) assignControlID(x *exchange) {
 	p.lastControlID++
 	x.id = "q" + strconv.FormatUint(p.lastControlID, 10)
+}
+
+// startTimeout makes an exchange end as TimedOut after timeout. The lock is held.
+func (p *Pool) startTimeout(x *exchange, timeout time.Duration) {
 	x.timer = time.AfterFunc(timeout, func() {
 		p.mu.Lock()
 		callback := p.finish(x, dispatch.TimedOut, nil)
 		p.mu.Unlock()
 		runCallbacks(callback)
 	})
-	p.mu.Unlock()
-	p.start(x, workerID)
 }
 
 // start looks up the worker by its id and assigns the exchange to a connection.
--- a/internal/upstream/respupstream/harness_test.go
+++ b/internal/upstream/respupstream/harness_test.go
@@ -27,6 +27,7 @@
 	loadResults       chan dispatch.FunctionLoaded
 	healthResults     chan dispatch.HealthChecked
 	connectionLost    chan dispatch.ConnectionLost
+	connections       chan dispatch.ConnectionsChanged
 	loadWorker        string        // receives a load command per request; empty means no load commands
 	healthCheckWorker string        // receives a health check per request; empty means no checks
 	delay             time.Duration // duration of each Step
@@ -66,6 +67,8 @@
 			s.healthResults <- e
 		case dispatch.ConnectionLost:
 			s.connectionLost <- e
+		case dispatch.ConnectionsChanged:
+			s.connections <- e
 		}
 	}
 	return out
@@ -98,6 +101,7 @@
 	dispatcher.loadResults = make(chan dispatch.FunctionLoaded, 64)
 	dispatcher.healthResults = make(chan dispatch.HealthChecked, 64)
 	dispatcher.connectionLost = make(chan dispatch.ConnectionLost, 64)
+	dispatcher.connections = make(chan dispatch.ConnectionsChanged, 64)
 	dispatcher.endedAttempts = map[dispatch.RequestID]int{}
 	config := Config{ConnectTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, StallTimeout: 10 * time.Second, MaxConns: 8,
 		MaxRequestsPerConn: 32, MaxResponseBytes: 1 << 12, ReceiveBuffer: 32 << 10}
--- a/internal/upstream/respupstream/pool.go
+++ b/internal/upstream/respupstream/pool.go
@@ -27,7 +27,8 @@
 }
 
 // Pool holds the connections of one router to all workers and implements router.Upstream. Its mutex also guards the
-// state of workers, connections and exchanges. Nothing blocks and no callback runs while it is held.
+// state of workers, connections and exchanges. Nothing blocks and no callback runs while it is held, except that changes of
+// connections are queued for the router.
 type Pool struct {
 	config Config
 	router *router.Router
@@ -39,6 +40,7 @@
 	connecting     int                  // connects in progress, to all workers
 	lastControlID  uint64               // number in the id of the latest load command or health check
 	inputBytes     int                  // of incomplete responses, held by all connections
+	keepConns      bool                 // the oldest connection to each worker is kept open although it is idle
 	closed         bool
 	stop           chan struct{} // closed by Close; ends the sweep goroutine
 	stats          Stats
@@ -62,6 +64,7 @@
 	DialFailures      uint64
 	ProtocolErrors    uint64 // connections closed because of a malformed or stalled response, or a panic while reading
 	IdleClosed        uint64 // connections closed because they were idle or had drained
+	Kept              uint64 // health checks that kept an idle connection open
 	Lost              uint64 // connections to listed workers that ended, and not by this pool
 	Evicted           uint64 // idle connections closed to make room for a connection to another worker
 
@@ -80,6 +83,8 @@
 	conns      []*conn     // those that accept new exchanges
 	connecting int         // connects in progress
 	waiting    []*exchange // exchanges that wait for a connection
+
+	reportedOldest time.Time // what reportConns last reported
 }
 
 // New returns a Pool without workers and starts its sweep goroutine, which Close ends. Attach must be called before
@@ -137,6 +142,7 @@
 	if w != nil && (removed || w.isReplacedBy(endpoint)) {
 		callbacks = p.removeWorker(w)
 		delete(p.workers, endpoint.ID)
+		p.router.ConnectionsChanged(w.id, time.Time{})
 		w = nil
 	}
 	if removed {
@@ -165,6 +171,34 @@
 	return w.state == dispatch.EndpointActive || kind == kindHealthCheck
 }
 
+// reportConns reports to the router when the oldest connection to a worker was opened that may carry new exchanges. The
+// lock is held, so that the reports keep their order.
+func (p *Pool) reportConns(w *worker) {
+	if w.removed {
+		return // the id may stand for another process
+	}
+	var openedAt time.Time
+	if oldest := w.oldestConn(); oldest != nil {
+		openedAt = oldest.openedAt
+	}
+	if !openedAt.Equal(w.reportedOldest) {
+		w.reportedOldest = openedAt
+		p.router.ConnectionsChanged(w.id, openedAt)
+	}
+}
+
+// oldestConn returns the connection that was opened first of those that accept new exchanges, or nil if there is none. The
+// lock is held.
+func (w *worker) oldestConn() *conn {
+	var oldest *conn
+	for _, c := range w.conns {
+		if oldest == nil || c.openedAt.Before(oldest.openedAt) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
 // removeWorker ends the exchanges that wait for a connection to the worker. Its connections accept no new exchanges
 // and are closed once nothing is in flight on them. The lock is held; the caller runs the callbacks without it.
 func (p *Pool) removeWorker(w *worker) (callbacks []func()) {
--- a/internal/upstream/respupstream/sweep.go
+++ b/internal/upstream/respupstream/sweep.go
@@ -1,6 +1,10 @@
 package respupstream
 
-import "time"
+import (
+	"time"
+
+	"github.com/topazfront/topazfront/dispatch"
+)
 
 // sweepInterval is the time between two sweeps.
 const sweepInterval = 50 * time.Millisecond
@@ -31,6 +35,9 @@
 		switch {
 		case c.partialResponse && now.Sub(c.lastReadAt) > p.config.StallTimeout:
 			stalled = append(stalled, c)
+		case c.isIdle() && !c.draining && c.idleTimeoutExceeded(now) && p.keepsOpen(c):
+			p.stats.Kept++
+			c.enqueue(p.newKeepAlive(c))
 		case c.isIdle() && (c.draining || c.idleTimeoutExceeded(now)):
 			c.draining = true
 			idle = append(idle, c)
@@ -56,3 +63,26 @@
 		c.close()
 	}
 }
+
+// KeepConnections implements router.Upstream. While connections are kept, the oldest connection to each active worker is
+// not closed when it is idle. A health check on it keeps the worker from closing it.
+func (p *Pool) KeepConnections(keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepConns = keep
+}
+
+// keepsOpen reports whether a connection is kept although it is idle. The lock is held.
+func (p *Pool) keepsOpen(c *conn) bool {
+	return p.keepConns && c.worker.accepts(kindAttempt) && c == c.worker.oldestConn()
+}
+
+// newKeepAlive returns a health check of which only the connection matters. The lock is held.
+func (p *Pool) newKeepAlive(c *conn) *exchange {
+	x := &exchange{pool: p, kind: kindHealthCheck, worker: c.worker, writeBefore: time.Now().Add(p.config.ConnectTimeout)}
+	x.done = func(dispatch.Result, *response) {}
+	x.encode = func(time.Duration) []byte { return encodeHealthCheck(x.id) }
+	p.assignControlID(x)
+	p.startTimeout(x, p.config.ConnectTimeout)
+	return x
+}
