dispatch: a waiting request stands in one queue, so its copies no longer multiply

Cause: requests waited in four kinds of queue. A timer or the end of a health check routed one again without removing it from its queue, so each routing led to two more; only neighbouring copies were dropped.

Ruled out: the second timer of a request as a factor of its own.

Change: requestQueue; a request is in one at most. What routes a request removes it. Behaviour that changes: a request that has given up waiting for one worker's load, report or check and waits for another's is no longer woken by the first.

--- a/dispatch/acceptance.go
+++ b/dispatch/acceptance.go
@@ -41,6 +41,7 @@
 // available worker, or ends it.
 func (d *Dispatcher) routeRequest(r *request) {
 	r.needsAttempt = true
+	r.leaveQueue()
 	if obstacle := d.attemptObstacle(r); obstacle != CauseNone {
 		if r.inFlight == 0 {
 			d.finishUnserved(r, obstacle)
@@ -53,7 +54,7 @@
 		d.finishUnserved(r, CauseNoLease)
 	case w == nil:
 		if r.inFlight == 0 {
-			d.pending = append(d.pending, r)
+			d.pending.add(r)
 		}
 	case !d.holdsLease(w):
 		d.awaitLease(r, w)
@@ -73,7 +74,7 @@
 		d.finishUnserved(r, CauseLoadTooLate)
 		return
 	}
-	p.awaitingLoad = append(p.awaitingLoad, r)
+	p.awaitingLoad.add(r)
 	d.setRequestTimer(r, p.loadCommandedAt+d.loadOverdueAfter(r.function)+timerSlack)
 }
 
--- a/dispatch/leasechecks.go
+++ b/dispatch/leasechecks.go
@@ -55,15 +55,14 @@
 		w.lease.checkedAt = d.now
 		d.emit(CheckHealth{Worker: w.ID, ForLease: true})
 	}
-	w.lease.awaiting = append(w.lease.awaiting, r)
+	w.lease.awaiting.add(r)
 	d.setRequestTimer(r, d.now+d.leaseCheckTimeout(r))
 }
 
 // recordLeaseCheck applies the result of a health check to the lease of a worker and requeues the requests
 // that waited for it. A renewed lease starts when the check was sent.
 func (d *Dispatcher) recordLeaseCheck(w *worker, e HealthChecked) {
-	d.pending = append(d.pending, w.lease.awaiting...)
-	w.lease.awaiting = nil
+	d.pending.addAll(&w.lease.awaiting)
 	w.lease.checkInFlight = false
 	switch {
 	case e.Result == OK && e.Draining:
--- /dev/null
+++ b/dispatch/requestqueue_test.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestRequestIsInOneQueue checks that adding a request to a queue removes it from the other, and keeps the order.
+func TestRequestIsInOneQueue(t *testing.T) {
+	first, second, third := &request{}, &request{}, &request{}
+	var waiting, pending requestQueue
+	for _, r := range []*request{first, second, third} {
+		waiting.add(r)
+	}
+	pending.add(second)
+	if !slices.Equal(waiting.requests, []*request{first, third}) || !slices.Equal(pending.requests, []*request{second}) {
+		t.Error("the request is still in its first queue, or the others are not")
+	}
+	pending.addAll(&waiting)
+	if want := []*request{second, first, third}; len(waiting.requests) > 0 || !slices.Equal(pending.requests, want) {
+		t.Error("not all requests were moved in their order")
+	}
+	for _, r := range pending.takeAll() {
+		if r.leaveQueue(); r.queue != nil {
+			t.Error("the request is in a queue after all were taken")
+		}
+	}
+}
+
+// TestWaitingRequestsDoNotMultiply guards against a router that uses all of its processor time while it is cut off from
+// all workers, and answers late: each request that waited for a health check was routed again by its timer and by the end of the
+// check, and each time into two more queues.
+func TestWaitingRequestsDoNotMultiply(t *testing.T) {
+	const (
+		workers      = 15
+		outage       = 8 * time.Second
+		checkTimeout = 250 * time.Millisecond
+		callInterval = 100 * time.Millisecond
+		callsAtOnce  = 2
+	)
+	s := testSettings()
+	s.WorkersLoadOnMiss, s.DrainGrace, s.MaxRetryAfter = true, testDrainGrace, time.Second
+	var ids []string
+	for i := range workers {
+		ids = append(ids, fmt.Sprint("w", i))
+	}
+	h := newHarness(t, s, ids...)
+	h.step(EndpointListConfirmed{At: h.now})
+	h.advance(lossNotificationDelay + testDrainGrace)
+	checks := map[time.Duration][]string{} // by the time at which they time out
+	selections := h.dispatcher.selectionCount
+	requests := 0
+	for start := h.now; h.now < start+outage; {
+		h.now += harnessTick
+		events := []Event{TimerFired{}}
+		for _, worker := range checks[h.now] {
+			events = append(events, HealthChecked{Worker: worker, Result: TimedOut, Duration: checkTimeout, LoadReport: NoLoadReport})
+		}
+		if (h.now-start)%callInterval == 0 {
+			for range callsAtOnce {
+				events = append(events, h.newRequest("f", classIdempotent))
+				requests++
+			}
+		}
+		for _, check := range actionsOf[CheckHealth](h.step(events...)) {
+			checks[h.now+checkTimeout] = append(checks[h.now+checkTimeout], check.Worker)
+		}
+	}
+	const lifetime = 3 * time.Second
+	most := 2 * int(lifetime/pendingBackoff) // twice a routing for each wait, for the ends of checks
+	if perRequest := (h.dispatcher.selectionCount - selections) / requests; perRequest > most {
+		t.Errorf("each request was routed %d times, want %d at most", perRequest, most)
+	} else {
+		t.Logf("each request was routed %d times", perRequest)
+	}
+}
