--- a/internal/server/httpserver/close_test.go
+++ b/internal/server/httpserver/close_test.go
@@ -73,7 +73,12 @@
 			waitForAccepted(t, s, 1)
 			c := serverSide(t, s, cl)
 			waitUntilLocked(t, s, "half a request", func() bool { return c.requestStarted && !c.netConn.IsBusy() })
-			s.closeExpired(time.Now().Add(time.Hour))
+			testsupport.WaitUntil(t, "the rejection", func() bool { // like the sweep: not while a read is under way
+				s.closeExpired(time.Now().Add(time.Hour))
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return c.closeAfterResponse
+			})
 			waitUntilLocked(t, s, "the response", func() bool { return !c.lingerUntil.IsZero() })
 			cl.send(request[40:])
 		}, []int{408}},
