dispatch: only waits for health checks are exclusive; the recorded sums are as before

Ruled out: an exact order of events with one queue for all.

Change: requestqueue.go goes; a request waits for one health check at a time (request.awaitedLease), and leaves it when it is routed again or ends.

--- a/dispatch/acceptance.go
+++ b/dispatch/acceptance.go
@@ -41,7 +41,7 @@
 // available worker, or ends it.
 func (d *Dispatcher) routeRequest(r *request) {
 	r.needsAttempt = true
-	r.leaveQueue()
+	r.stopAwaitingLease()
 	if obstacle := d.attemptObstacle(r); obstacle != CauseNone {
 		if r.inFlight == 0 {
 			d.finishUnserved(r, obstacle)
@@ -54,7 +54,7 @@
 		d.finishUnserved(r, CauseNoLease)
 	case w == nil:
 		if r.inFlight == 0 {
-			d.pending.add(r)
+			d.pending = append(d.pending, r)
 		}
 	case !d.holdsLease(w):
 		d.awaitLease(r, w)
@@ -74,7 +74,7 @@
 		d.finishUnserved(r, CauseLoadTooLate)
 		return
 	}
-	p.awaitingLoad.add(r)
+	p.awaitingLoad = append(p.awaitingLoad, r)
 	d.setRequestTimer(r, p.loadCommandedAt+d.loadOverdueAfter(r.function)+timerSlack)
 }
 
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -13,7 +13,7 @@
 
 // closeRequest ends a request and cancels its attempts in flight.
 func (d *Dispatcher) closeRequest(r *request) {
-	r.leaveQueue()
+	r.stopAwaitingLease()
 	if r.inFlight == 0 && d.requests[r.ID] == r {
 		delete(d.requests, r.ID)
 		r.function.openRequests--
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -143,7 +143,7 @@
 	if at, ok := d.timers.next(); ok {
 		next = min(next, at)
 	}
-	if len(d.pending.requests) > 0 {
+	if len(d.pending) > 0 {
 		next = min(next, d.now+pendingBackoff)
 	}
 	if d.timerDue <= d.now || next < d.timerDue {
--- a/dispatch/leasechecks.go
+++ b/dispatch/leasechecks.go
@@ -55,14 +55,36 @@
 		w.lease.checkedAt = d.now
 		d.emit(CheckHealth{Worker: w.ID, ForLease: true})
 	}
-	w.lease.awaiting.add(r)
+	w.lease.awaiting = append(w.lease.awaiting, r)
+	r.awaitedLease = &w.lease
 	d.setRequestTimer(r, d.now+d.leaseCheckTimeout(r))
 }
 
+// stopAwaitingLease removes a request from those that wait for the health check of a worker. A request waits
+// for one check at a time: otherwise the end of each would route it again, and make it wait for another one.
+func (r *request) stopAwaitingLease() {
+	if r.awaitedLease == nil {
+		return
+	}
+	isSame := func(other *request) bool { return other == r }
+	r.awaitedLease.awaiting = slices.DeleteFunc(r.awaitedLease.awaiting, isSame)
+	r.awaitedLease = nil
+}
+
+// takeAwaiting removes and returns the requests that wait for a health check.
+func (l *workerLease) takeAwaiting() []*request {
+	taken := l.awaiting
+	l.awaiting = nil
+	for _, r := range taken {
+		r.awaitedLease = nil
+	}
+	return taken
+}
+
 // recordLeaseCheck applies the result of a health check to the lease of a worker and requeues the requests
 // that waited for it. A renewed lease starts when the check was sent.
 func (d *Dispatcher) recordLeaseCheck(w *worker, e HealthChecked) {
-	d.pending.addAll(&w.lease.awaiting)
+	d.pending = append(d.pending, w.lease.takeAwaiting()...)
 	w.lease.checkInFlight = false
 	switch {
 	case e.Result == OK && e.Draining:
--- a/dispatch/requestqueue_test.go
+++ b/dispatch/leasechecks_test.go
@@ -2,33 +2,10 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 )
 
-// TestRequestIsInOneQueue checks that adding a request to a queue removes it from the other, and keeps the order.
-func TestRequestIsInOneQueue(t *testing.T) {
-	first, second, third := &request{}, &request{}, &request{}
-	var waiting, pending requestQueue
-	for _, r := range []*request{first, second, third} {
-		waiting.add(r)
-	}
-	pending.add(second)
-	if !slices.Equal(waiting.requests, []*request{first, third}) || !slices.Equal(pending.requests, []*request{second}) {
-		t.Error("the request is still in its first queue, or the others are not")
-	}
-	pending.addAll(&waiting)
-	if want := []*request{second, first, third}; len(waiting.requests) > 0 || !slices.Equal(pending.requests, want) {
-		t.Error("not all requests were moved in their order")
-	}
-	for _, r := range pending.takeAll() {
-		if r.leaveQueue(); r.queue != nil {
-			t.Error("the request is in a queue after all were taken")
-		}
-	}
-}
-
 // TestWaitingRequestsDoNotMultiply guards against a router that uses all of its processor time while it is cut off from
 // all workers, and answers late: each request that waited for a health check was routed again by its timer and by the end of the
 // check, and each time into two more queues.
@@ -76,3 +53,25 @@
 		t.Logf("each request was routed %d times", perRequest)
 	}
 }
+
+// TestRequestAwaitsOneLeaseCheck checks that a request that gives up waiting for the health check of one worker, and waits
+// for that of another, no longer waits for the first.
+func TestRequestAwaitsOneLeaseCheck(t *testing.T) {
+	h := newLeaseHarness(t, nil)
+	h.expireListLease()
+	h.requireOutcome("check", "the list is out of date")
+	h.advance(2 * pendingBackoff)
+	waiting := 0
+	for _, w := range h.dispatcher.activeWorkers {
+		waiting += len(w.lease.awaiting)
+	}
+	if waiting != 1 {
+		t.Errorf("one request waits for %d health checks", waiting)
+	}
+	h.advance(3 * time.Second)
+	for id, w := range h.dispatcher.workers {
+		if len(w.lease.awaiting) != 0 {
+			t.Errorf("a request that has ended waits for the health check of %s", id)
+		}
+	}
+}
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -111,7 +111,8 @@
 	} else {
 		d.backOffLoads(p)
 	}
-	d.pending.addAll(&p.awaitingLoad)
+	d.pending = append(d.pending, p.awaitingLoad...)
+	p.awaitingLoad = nil
 }
 
 // backOffLoads stops load commands for a placement for a while after a failed load, to protect an
--- a/dispatch/loadreports.go
+++ b/dispatch/loadreports.go
@@ -47,12 +47,11 @@
 
 // awaitLoadReport makes a request wait for the health check of a worker.
 func (d *Dispatcher) awaitLoadReport(r *request, w *worker) {
-	if !w.reportRequested {
-		w.reportRequested = true
+	if len(w.awaitingReport) == 0 {
 		d.emit(CheckHealth{Worker: w.ID})
 	}
 	r.loadReportAwaited = true
-	w.awaitingReport.add(r)
+	w.awaitingReport = append(w.awaitingReport, r)
 	d.setRequestTimer(r, d.now+pendingBackoff)
 }
 
@@ -69,6 +68,6 @@
 			d.recordLoadReport(w, e.LoadReport.InFlight)
 		}
 	}
-	d.pending.addAll(&w.awaitingReport)
-	w.reportRequested = false
+	d.pending = append(d.pending, w.awaitingReport...)
+	w.awaitingReport = nil
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -26,7 +26,7 @@
 	inFlight          int
 	streaming         *attempt      // the attempt whose streamed response has started
 	needsAttempt      bool          // it waits for its next attempt
-	queue             *requestQueue // in which it waits, or nil
+	awaitedLease      *workerLease  // whose health check it waits for, or nil
 	loadReportAwaited bool          // it has waited for a load report once
 	backoffCount      int           // number of delayed retries so far
 	retryOrder        time.Duration // sort key of the pending requests, the latest first
--- a/dispatch/retries.go
+++ b/dispatch/retries.go
@@ -56,7 +56,8 @@
 // pending without a search. A request that finds no worker and misses its objective is rejected at once
 // instead of at its deadline. Cost: a late response would still have had a part of its value.
 func (d *Dispatcher) retryPending() {
-	waiting := d.pending.takeAll()
+	waiting := d.pending
+	d.pending = nil
 	for _, r := range waiting {
 		r.retryOrder = r.acceptedAt
 		if d.missesObjective(r) {
@@ -65,7 +66,7 @@
 	}
 	slices.SortStableFunc(waiting, func(a, b *request) int { return cmp.Compare(b.retryOrder, a.retryOrder) })
 	blocked := map[*function]bool{}
-	for _, r := range waiting {
+	for _, r := range slices.Compact(waiting) {
 		if !r.done && r.needsAttempt && r.inFlight == 0 {
 			d.retryOnePending(r, blocked)
 		}
@@ -75,14 +76,16 @@
 // retryOnePending routes a pending request, unless another request of its function has just found no worker.
 func (d *Dispatcher) retryOnePending(r *request, blocked map[*function]bool) {
 	late := r.retryOrder < r.acceptedAt
+	before := len(d.pending)
 	if blocked[r.function] && len(r.attempts) == 0 {
-		d.pending.add(r)
+		d.pending = append(d.pending, r)
 	} else {
 		d.routeRequest(r)
-		blocked[r.function] = r.queue == &d.pending
+		blocked[r.function] = len(d.pending) > before
 	}
 	if blocked[r.function] && late {
 		d.finishUnserved(r, CauseOverload)
+		d.pending = d.pending[:before]
 	}
 }
 
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -39,9 +39,9 @@
 	unservedFunctions int
 
 	requests       map[RequestID]*request
-	pending        requestQueue // those that wait for an available worker
-	selectionCount int          // number of calls of selectWorker so far
-	acceptedCount  int          // number of requests accepted so far
+	pending        []*request // those that wait for an available worker
+	selectionCount int        // number of calls of selectWorker so far
+	acceptedCount  int        // number of requests accepted so far
 
 	// Sliding windows of the load rate limit.
 	requestTimes     []time.Duration
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -26,8 +26,7 @@
 	reportedAt       time.Duration // time of its last load report
 	reportedInFlight float64       // requests in that report
 	loadExcess       float64       // logarithm of the ratio of its reports to those of the others
-	awaitingReport   requestQueue  // requests that wait for its next load report
-	reportRequested  bool          // a health check for them is in flight
+	awaitingReport   []*request    // requests that wait for its next load report
 
 	lease workerLease
 	proof workerProof
@@ -52,7 +51,7 @@
 	lostContactAt time.Duration // when a connection to it last failed or it reported that it drains
 	checkedAt     time.Duration // when the last lease check was sent; 0 means none, or that it renewed the lease
 	checkInFlight bool
-	awaiting      requestQueue // requests that wait for that health check
+	awaiting      []*request // requests that wait for that health check
 }
 
 // workerProof is the evidence of the process at a worker's address.
@@ -108,12 +107,12 @@
 
 // requeueWaiting moves the requests that wait for a worker to the pending requests and deletes its placements.
 func (d *Dispatcher) requeueWaiting(w *worker) {
-	d.pending.addAll(&w.awaitingReport)
-	d.pending.addAll(&w.lease.awaiting)
-	w.reportRequested = false
+	d.pending = append(d.pending, w.awaitingReport...)
+	d.pending = append(d.pending, w.lease.takeAwaiting()...)
+	w.awaitingReport = nil
 	for _, f := range d.functionsInOrder {
 		if p := f.placements[w]; p != nil {
-			d.pending.addAll(&p.awaitingLoad)
+			d.pending = append(d.pending, p.awaitingLoad...)
 			delete(f.placements, w)
 		}
 	}
