dispatch: comments of possiblerestarts.go name the record that it decides on

Need: the first comment named fields that had moved into worker.proof.

Ruled out: nothing; comments only.

Change: two comments.

--- a/dispatch/possiblerestarts.go
+++ b/dispatch/possiblerestarts.go
@@ -1,7 +1,7 @@
 package dispatch
 
 // This file decides which workers may have been restarted unseen, and limits the requests that they get:
-// worker.unproven, worker.trialTokens and worker.restartAssumed.
+// worker.proof.
 //
 // The endpoint list tells when a worker was started, while it shows all changes that count as notified.
 // Otherwise only a connection tells: one that was opened before the list was last confirmed, and is still
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -58,7 +58,7 @@
 type workerProof struct {
 	connectedSince time.Duration // when the oldest open connection was opened; 0 means that there is none
 	unproven       bool          // it may have been restarted unseen
-	restartAssumed bool          // it is in slow start because it may have been restarted, not by the list
+	restartAssumed bool          // its slow start was begun by handlePossibleRestart, not by the list
 	trialTokens    float64       // attempts that it may get while it is unproven
 	trialsAt       int           // Dispatcher.acceptedCount when trialTokens was last refilled
 	trialPassed    bool          // it has responded quickly to an attempt since it is unproven
