respupstream: a new test waits until the connection is idle before it is evicted

The race was in the test.

Ruled out: a fault of evictIdle, which returns nil where nothing is idle, as its comment says.

Change: the test repeats the eviction until a connection is idle. What it expects is the same.

--- a/internal/upstream/respupstream/keepconns_test.go
+++ b/internal/upstream/respupstream/keepconns_test.go
@@ -20,9 +20,13 @@
 			h.pool.config.IdleTimeout = time.Nanosecond
 		},
 		"evicted": func(h *harness, _ *fakeplatform.Worker) {
-			h.pool.mu.Lock()
-			evicted := h.pool.evictIdle()
-			h.pool.mu.Unlock()
+			var evicted *conn
+			testsupport.WaitUntil(h.t, "an idle connection", func() bool { // the write loop may still be ending
+				h.pool.mu.Lock()
+				defer h.pool.mu.Unlock()
+				evicted = h.pool.evictIdle()
+				return evicted != nil
+			})
 			evicted.close()
 		},
 	} {
