dispatch: a passed trial counts only while the connection stays open

What callers would see: a worker that passed a trial, whose connection this router then evicted or closed, and that restarted unseen in the same outage, would get its whole share.

Cause: the verdict was reset only when a worker became unproven, and it was unproven all along.

Ruled out: to reset it at each change of connections; the first connection that is opened breaks nothing.

Change: trials begin anew when the oldest connection of an unproven worker ends.

--- a/dispatch/possiblerestarts.go
+++ b/dispatch/possiblerestarts.go
@@ -25,10 +25,17 @@
 // recordConnections records when the oldest open connection to a worker was opened.
 func (d *Dispatcher) recordConnections(e ConnectionsChanged) {
 	d.connectionsReported = true
-	if w := d.workers[e.Worker]; w != nil {
-		w.proof.connectedSince = e.OldestOpenedAt
-		d.updateUnproven(w)
+	w := d.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	before := w.proof.connectedSince
+	w.proof.connectedSince = e.OldestOpenedAt
+	isBroken := before > 0 && (e.OldestOpenedAt == 0 || e.OldestOpenedAt > before)
+	if isBroken && w.proof.unproven {
+		d.beginTrials(w) // a trial that it passed before says nothing of the process after a restart
 	}
+	d.updateUnproven(w)
 }
 
 // connectionsNeeded reports whether connections have to prove that workers were not restarted: the list may
@@ -57,8 +64,7 @@
 	}
 }
 
-// updateUnproven updates whether a worker may have been restarted unseen. The first trial comes at a random
-// time, because otherwise all routers would send theirs at the same time.
+// updateUnproven updates whether a worker may have been restarted unseen.
 func (d *Dispatcher) updateUnproven(w *worker) {
 	connected := w.proof.connectedSince > 0 && w.proof.connectedSince <= d.list.confirmedAt
 	unproven := d.connectionsNeeded() && !connected
@@ -67,13 +73,19 @@
 	}
 	w.proof.unproven = unproven
 	if unproven {
-		w.proof.trialTokens = -d.random.Float64()
-		w.proof.trialsAt = d.acceptedCount
-		w.proof.trialPassed = false
-		w.proof.unprovenSince = d.now
+		d.beginTrials(w)
 	}
 }
 
+// beginTrials resets the trials of a worker. The first comes at a random time, because otherwise all routers
+// would send theirs at the same time.
+func (d *Dispatcher) beginTrials(w *worker) {
+	w.proof.trialTokens = -d.random.Float64()
+	w.proof.trialsAt = d.acceptedCount
+	w.proof.trialPassed = false
+	w.proof.unprovenSince = d.now
+}
+
 // admitTrial reports whether an attempt may be started at a worker as far as it may have been restarted
 // unseen. It refills the tokens of an unproven worker: a part of an even share of the requests that this
 // router has accepted since.
--- a/dispatch/possiblerestarts_test.go
+++ b/dispatch/possiblerestarts_test.go
@@ -67,6 +67,30 @@
 	}
 }
 
+// TestPassedTrialEndsWithConnection guards against a whole share for a worker that passed a trial and was restarted later in
+// the same outage, after this router had closed the connection: the verdict was kept, as the worker was unproven all along.
+func TestPassedTrialEndsWithConnection(t *testing.T) {
+	h := newLeaseHarness(t, nil)
+	h.reportConnections(0)
+	h.expireListLease()
+	h.reportConnections(h.now)
+	_, actions := h.request("f", classIdempotent)
+	attempt := h.onlyAttempt(h.answerLeaseChecks(actions))
+	h.endAttempt(attempt, 0, outcomeOf(OK, harnessTick))
+	w := h.dispatcher.workers[attempt.Worker]
+	if !w.proof.trialPassed {
+		t.Fatal("a quick response passes no trial")
+	}
+	h.step(ConnectionsChanged{Worker: w.ID, OldestOpenedAt: w.proof.connectedSince})
+	if !w.proof.trialPassed {
+		t.Error("the trial no longer counts although the connection is open")
+	}
+	h.step(ConnectionsChanged{Worker: w.ID})
+	if w.proof.trialPassed {
+		t.Error("the trial still counts after the connection was closed")
+	}
+}
+
 // TestConnectionsAreKeptWhileNeeded guards against the loss of all evidence in an outage of discovery: a router closed its
 // idle connections, so that a restart went unseen.
 func TestConnectionsAreKeptWhileNeeded(t *testing.T) {
