dispatch: tests of restarts and slow start share the insertion into their event queue

Need: outageRouter.schedule stood a second time, and its counter 'served' counted attempts.

Ruled out: one type of router for both tests; their timelines and answers have nothing in common.

--- a/dispatch/possiblerestarts_test.go
+++ b/dispatch/possiblerestarts_test.go
@@ -148,19 +148,11 @@
 	connected  map[string]bool
 	attempts   map[RequestID]int
 	lastID     RequestID
-	served     int             // requests that came after the restart
+	started    int             // attempts since the restart; each is served, so there is one for each request
 	arrivals   []time.Duration // attempts at the restarted worker since its restart
 }
 
-func (r *outageRouter) schedule(at time.Duration, e Event) {
-	i, _ := slices.BinarySearchFunc(r.queue, at, func(queued dueEvent, at time.Duration) int {
-		if queued.at <= at {
-			return -1
-		}
-		return 1
-	})
-	r.queue = slices.Insert(r.queue, i, dueEvent{at, e})
-}
+func (r *outageRouter) schedule(at time.Duration, e Event) { r.queue = insertDue(r.queue, at, e) }
 
 // run plays the timeline for one router and returns the number of requests that came after the restart.
 func (r *outageRouter) run(s Settings) (late int) {
@@ -239,7 +231,7 @@
 func (r *outageRouter) answer(a StartAttempt) {
 	took := time.Duration(float64(warmResponse) * (0.6 + float64(0.8*r.rng.Float64())))
 	if r.now >= restartedAt {
-		r.served++
+		r.started++
 	}
 	if a.Worker == r.restarted && r.now >= restartedAt {
 		r.arrivals = append(r.arrivals, r.now)
@@ -264,7 +256,7 @@
 		r := &outageRouter{t: t, rng: rng, rate: load * outageWorkers * capacityOfWorkers / outageRouters, restarted: restarted,
 			connected: map[string]bool{}, attempts: map[RequestID]int{}}
 		late += r.run(s)
-		started += r.served
+		started += r.started
 		arrivals = append(arrivals, r.arrivals...)
 	}
 	slices.Sort(arrivals)
--- a/dispatch/slowstart_router_test.go
+++ b/dispatch/slowstart_router_test.go
@@ -74,15 +74,18 @@
 	}
 }
 
-// schedule adds an event to the queue, after the events with the same or an earlier time.
-func (r *slowStartRouter) schedule(at time.Duration, e Event) {
-	i, _ := slices.BinarySearchFunc(r.queue, at, func(queued dueEvent, at time.Duration) int {
+// schedule adds an event to the queue.
+func (r *slowStartRouter) schedule(at time.Duration, e Event) { r.queue = insertDue(r.queue, at, e) }
+
+// insertDue returns a queue with one more event, after those with the same or an earlier time.
+func insertDue(queue []dueEvent, at time.Duration, e Event) []dueEvent {
+	i, _ := slices.BinarySearchFunc(queue, at, func(queued dueEvent, at time.Duration) int {
 		if queued.at <= at {
 			return -1
 		}
 		return 1
 	})
-	r.queue = slices.Insert(r.queue, i, dueEvent{at, e})
+	return slices.Insert(queue, i, dueEvent{at, e})
 }
 
 func (r *slowStartRouter) newRequest() Request {
