fakeplatform: a fake worker or discovery server waits until its address is free again

A child process holds copies of all descriptors between fork and exec, and closes them late in the exec; until then a listener that the parent has closed keeps its address.

Ruled out: a leaked listener (every injector ends before the platform is closed); another user of port 4100, which lies outside of the ephemeral ports; holding syscall.ForkLock while closing.

Change: listen tries an address in use again, each 5 ms for 2 s; then it is the error as before.

TestListenReportsAddressInUse: an address that stays in use is still an error.

--- a/internal/fake/fakeplatform/discovery.go
+++ b/internal/fake/fakeplatform/discovery.go
@@ -46,7 +46,7 @@
 
 // StartDiscoveryServerAt is like StartDiscoveryServer, but listens on the given address.
 func StartDiscoveryServerAt(address string, events ...string) (*DiscoveryServer, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +72,7 @@
 
 // Resume listens again on the same address, after Suspend. It fails if another process has taken the address meanwhile.
 func (s *DiscoveryServer) Resume() error {
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := listen(s.address)
 	if err != nil {
 		return err
 	}
--- a/internal/fake/fakeplatform/worker.go
+++ b/internal/fake/fakeplatform/worker.go
@@ -98,7 +98,7 @@
 
 // Start starts the worker on an address, which may be that of a worker that was stopped.
 func (w *Worker) Start(address string) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
