dispatch: a list from before the loss of contact doesn't end an assumed slow start

What callers would see: while discovery answers late, a worker that was restarted in its outage gets its whole share and falls over.

Cause: each entry of the endpoint list replaced the start time that was assumed when contact was lost.

Ruled out: to compare the times of updates; they have none, only the confirmation that follows has one (the router passes both together).

Change: an entry that shows no later start than before keeps the assumed one, until the list is confirmed for a time after it (endAssumedRestart). An entry with a later start counts at once, as before.

TestLostWorkerReturnsInSlowStart expected that an update without a confirmation ends the slow start, which is the fault. It now expects that the update alone does not, and that the confirmation does.

--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -35,15 +35,19 @@
 	} else if e.StartedAt > w.StartedAt {
 		d.resetWorker(w)
 	}
+	showsRestart := w.identity != nil && e.StartedAt > w.identity.endpoint.StartedAt
 	d.identify(w, e)
 	if e.State == EndpointRemoved {
 		d.endIdentity(w)
 	}
+	w.proof.restartAssumed = w.proof.restartAssumed && !showsRestart
+	if w.proof.restartAssumed { // the entry may be older; endAssumedRestart decides
+		e.StartedAt = w.StartedAt
+	}
 	w.Endpoint = e
 	w.memoryMB = d.memoryByKind[e.Kind]
 	w.listedInUpdate = d.endpointUpdateCount
 	d.queueStateChange(w)
-	w.proof.restartAssumed = false
 	d.updateWarmingUp(w)
 }
 
--- a/dispatch/leases_test.go
+++ b/dispatch/leases_test.go
@@ -301,7 +301,8 @@
 }
 
 // A worker that responds again after a loss of contact goes through slow start, if the endpoint list is too old to show
-// whether it was restarted. An update of the list that shows no restart ends the slow start.
+// whether it was restarted. An update of the list that shows no restart ends the slow start once it is confirmed for a time
+// after the loss.
 func TestLostWorkerReturnsInSlowStart(t *testing.T) {
 	for name, test := range map[string]struct {
 		lost      Event
@@ -331,6 +332,10 @@
 				t.Errorf("in slow start: %v, want %v", w.warmingUp, test.slowStart)
 			}
 			h.step(EndpointUpdate{Endpoints: []Endpoint{{ID: "w2", Kind: "big"}}})
+			if w.warmingUp != test.slowStart {
+				t.Errorf("in slow start after an update that may be old: %v, want %v", w.warmingUp, test.slowStart)
+			}
+			h.confirm()
 			if w.warmingUp {
 				t.Error("still in slow start after the list showed no restart")
 			}
