dispatch: a request stands at most once in a queue, and is routed once a turn

One that was routed again by its timer could join the queue of the same load several times, and copies in the pending requests were dropped only where they were neighbours.

Change: requestQueue, in place of three slices; it takes a request once. The pending requests are routed once in a turn, wherever their copies stand. So no event can route a request more than once. A request may still wait for a load and for something else.

--- a/dispatch/acceptance.go
+++ b/dispatch/acceptance.go
@@ -74,7 +74,7 @@
 		d.finishUnserved(r, CauseLoadTooLate)
 		return
 	}
-	p.awaitingLoad = append(p.awaitingLoad, r)
+	p.awaitingLoad.add(r)
 	d.setRequestTimer(r, p.loadCommandedAt+d.loadOverdueAfter(r.function)+timerSlack)
 }
 
--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -227,7 +227,7 @@
 
 // isExpired reports whether a placement holds no more information than a missing one.
 func (d *Dispatcher) isExpired(p *placement) bool {
-	inUse := p.inFlight > 0 || p.loadCommandedAt > 0 || len(p.awaitingLoad) > 0
+	inUse := p.inFlight > 0 || p.loadCommandedAt > 0 || !p.awaitingLoad.isEmpty()
 	backingOff := p.loadFailures > 0 && d.now < p.loadBackoffUntil+idleFunctionTTL
 	return !inUse && !backingOff && d.now >= p.residentUntil
 }
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -15,8 +15,8 @@
 //     previous one.
 //   - The caller may reuse events and their slices after Step returns. The returned slice is valid until the next call.
 //
-// settings.go, events.go, actions.go and causes.go define the interface. state.go, worker.go, function.go, request.go
-// and timers.go hold the state and make no decisions. All decisions and tuning constants are in the other files, which
+// settings.go, events.go, actions.go and causes.go define the interface. state.go, worker.go, function.go, request.go,
+// requestqueue.go and timers.go hold the state and make no decisions. All decisions and tuning constants are in the other files, which
 // deploy/balancer.toml lists under "policy":
 //
 //   - dispatcher.go: Step, which dispatches the events to their handlers and sets the timer
--- a/dispatch/function.go
+++ b/dispatch/function.go
@@ -40,7 +40,7 @@
 	loadCommandedAt  time.Duration // when the load command in flight was sent; 0 means that there is none
 	loadBackoffUntil time.Duration // no load command is sent before this time
 	loadFailures     int           // failed loads in a row
-	awaitingLoad     []*request    // requests that wait for the result of the load command
+	awaitingLoad     requestQueue  // for the result of the load command
 }
 
 // placementOn returns the placement of f on w, or an empty one if there is none.
--- a/dispatch/leasechecks.go
+++ b/dispatch/leasechecks.go
@@ -55,7 +55,7 @@
 		w.lease.checkedAt = d.now
 		d.emit(CheckHealth{Worker: w.ID, ForLease: true})
 	}
-	w.lease.awaiting = append(w.lease.awaiting, r)
+	w.lease.awaiting.add(r)
 	r.awaitedLease = &w.lease
 	d.setRequestTimer(r, d.now+d.leaseCheckTimeout(r))
 }
@@ -66,15 +66,13 @@
 	if r.awaitedLease == nil {
 		return
 	}
-	isSame := func(other *request) bool { return other == r }
-	r.awaitedLease.awaiting = slices.DeleteFunc(r.awaitedLease.awaiting, isSame)
+	r.awaitedLease.awaiting.remove(r)
 	r.awaitedLease = nil
 }
 
 // takeAwaiting removes and returns the requests that wait for a health check.
 func (l *workerLease) takeAwaiting() []*request {
-	taken := l.awaiting
-	l.awaiting = nil
+	taken := l.awaiting.takeAll()
 	for _, r := range taken {
 		r.awaitedLease = nil
 	}
--- a/dispatch/leasechecks_test.go
+++ b/dispatch/leasechecks_test.go
@@ -63,14 +63,14 @@
 	h.advance(2 * pendingBackoff)
 	waiting := 0
 	for _, w := range h.dispatcher.activeWorkers {
-		waiting += len(w.lease.awaiting)
+		waiting += len(w.lease.awaiting.requests)
 	}
 	if waiting != 1 {
 		t.Errorf("one request waits for %d health checks", waiting)
 	}
 	h.advance(3 * time.Second)
 	for id, w := range h.dispatcher.workers {
-		if len(w.lease.awaiting) != 0 {
+		if !w.lease.awaiting.isEmpty() {
 			t.Errorf("a request that has ended waits for the health check of %s", id)
 		}
 	}
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -111,8 +111,7 @@
 	} else {
 		d.backOffLoads(p)
 	}
-	d.pending = append(d.pending, p.awaitingLoad...)
-	p.awaitingLoad = nil
+	d.pending = append(d.pending, p.awaitingLoad.takeAll()...)
 }
 
 // backOffLoads stops load commands for a placement for a while after a failed load, to protect an
--- a/dispatch/loadreports.go
+++ b/dispatch/loadreports.go
@@ -47,11 +47,11 @@
 
 // awaitLoadReport makes a request wait for the health check of a worker.
 func (d *Dispatcher) awaitLoadReport(r *request, w *worker) {
-	if len(w.awaitingReport) == 0 {
+	if w.awaitingReport.isEmpty() {
 		d.emit(CheckHealth{Worker: w.ID})
 	}
 	r.loadReportAwaited = true
-	w.awaitingReport = append(w.awaitingReport, r)
+	w.awaitingReport.add(r)
 	d.setRequestTimer(r, d.now+pendingBackoff)
 }
 
@@ -68,6 +68,5 @@
 			d.recordLoadReport(w, e.LoadReport.InFlight)
 		}
 	}
-	d.pending = append(d.pending, w.awaitingReport...)
-	w.awaitingReport = nil
+	d.pending = append(d.pending, w.awaitingReport.takeAll()...)
 }
--- a/dispatch/retries.go
+++ b/dispatch/retries.go
@@ -56,7 +56,7 @@
 // pending without a search. A request that finds no worker and misses its objective is rejected at once
 // instead of at its deadline. Cost: a late response would still have had a part of its value.
 func (d *Dispatcher) retryPending() {
-	waiting := d.pending
+	waiting := withoutCopies(d.pending)
 	d.pending = nil
 	for _, r := range waiting {
 		r.retryOrder = r.acceptedAt
@@ -66,7 +66,7 @@
 	}
 	slices.SortStableFunc(waiting, func(a, b *request) int { return cmp.Compare(b.retryOrder, a.retryOrder) })
 	blocked := map[*function]bool{}
-	for _, r := range slices.Compact(waiting) {
+	for _, r := range waiting {
 		if !r.done && r.needsAttempt && r.inFlight == 0 {
 			d.retryOnePending(r, blocked)
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -26,7 +26,7 @@
 	reportedAt       time.Duration // time of its last load report
 	reportedInFlight float64       // requests in that report
 	loadExcess       float64       // logarithm of the ratio of its reports to those of the others
-	awaitingReport   []*request    // requests that wait for its next load report
+	awaitingReport   requestQueue  // for its next load report
 
 	lease workerLease
 	proof workerProof
@@ -51,7 +51,7 @@
 	lostContactAt time.Duration // when a connection to it last failed or it reported that it drains
 	checkedAt     time.Duration // when the last lease check was sent; 0 means none, or that it renewed the lease
 	checkInFlight bool
-	awaiting      []*request // requests that wait for that health check
+	awaiting      requestQueue // for that health check
 }
 
 // workerProof is the evidence of the process at a worker's address.
@@ -107,12 +107,11 @@
 
 // requeueWaiting moves the requests that wait for a worker to the pending requests and deletes its placements.
 func (d *Dispatcher) requeueWaiting(w *worker) {
-	d.pending = append(d.pending, w.awaitingReport...)
+	d.pending = append(d.pending, w.awaitingReport.takeAll()...)
 	d.pending = append(d.pending, w.lease.takeAwaiting()...)
-	w.awaitingReport = nil
 	for _, f := range d.functionsInOrder {
 		if p := f.placements[w]; p != nil {
-			d.pending = append(d.pending, p.awaitingLoad...)
+			d.pending = append(d.pending, p.awaitingLoad.takeAll()...)
 			delete(f.placements, w)
 		}
 	}
