dispatch: a first trial is compared with earlier responses, and routers try different workers

What callers would see: a router that tries a worker that was restarted unseen first gives it its whole share at once, however slow it is; and many routers with few functions try the same worker first.

Cause: the mean to which a trial was compared began with the first trial, which so passed by itself. If no worker had passed yet, a request went to the first unproven worker of a ranking that all routers share.

Change: the mean of the times of responses to expected times is kept at all times. Among unproven workers without a trial left, one with a lease comes first, then one that holds the function, then the one with the most trial tokens, which begin at random values.

--- a/dispatch/possiblerestarts.go
+++ b/dispatch/possiblerestarts.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "cmp"
+
 // This file decides which workers may have been restarted unseen, and limits the requests that they get:
 // worker.proof.
 //
@@ -11,15 +13,15 @@
 //
 // If contact with a worker was lost, a restart is likely, and the worker goes through slow start. A worker
 // that is merely unproven gets trials: as many requests as a restarted worker can take from all routers
-// together. Once it has responded to one as quickly as the others, it gets its whole share again. The other
-// requests go to other workers. Only if there is none to wait for, because no unproven worker has passed a
-// trial yet, a request goes to any that has no attempt of this router in flight.
+// together. Once it has responded to one about as quickly as workers usually do, it gets its whole share
+// again. The other requests go to other workers. Only if there is none to wait for, because no unproven
+// worker has passed a trial yet, a request goes to one that has no attempt of this router in flight.
 
 const (
-	// maxTrialRatio is how much longer than at other unproven workers a trial may take. A worker that has
-	// just been started takes longer by the reciprocal of its fraction of capacity, but no longer for a load.
-	maxTrialRatio  = 1.5
-	trialSmoothing = 0.2 // weight of one trial in the mean of all
+	// maxTrialRatio is how much longer than usual, at all workers, a trial may take. A worker that has just
+	// been started takes longer by the reciprocal of its fraction of capacity, but no longer for a load.
+	maxTrialRatio      = 1.5
+	timeRatioSmoothing = 0.2 // weight of one response in the mean of all
 )
 
 // recordConnections records when the oldest open connection to a worker was opened.
@@ -53,7 +55,6 @@
 		return
 	}
 	if needed != d.proofsNeeded {
-		d.trialRatio = 0
 		d.emit(KeepConnections{Keep: needed && d.settings.HealthChecksAllowed})
 	}
 	d.proofsNeeded = needed
@@ -114,34 +115,59 @@
 	return d.fractionAfter(d.now - startedAt)
 }
 
-// recordTrial records the response of an unproven worker to an attempt. It passes if the attempt took about
-// as long as those at other unproven workers, compared with the expected time.
+// recordTrial compares the time of a response with the expected one. An unproven worker passes its trial if
+// the ratio is about the mean at all workers, which also grows while all of them are busier than before.
 func (d *Dispatcher) recordTrial(a *attempt, e AttemptEnded) {
 	w := a.worker
-	if !w.proof.unproven || a.startedAt < w.proof.unprovenSince {
-		return
-	}
 	ratio := e.Duration.Seconds() / max(a.expectedSeconds, minExpectedSeconds)
-	if d.trialRatio == 0 {
-		d.trialRatio = ratio
+	if d.meanTimeRatio == 0 {
+		d.meanTimeRatio = ratio
 	}
-	w.proof.trialPassed = w.proof.trialPassed || ratio <= maxTrialRatio*d.trialRatio
-	d.trialRatio = smooth(d.trialRatio, min(ratio, maxTrialRatio*d.trialRatio), trialSmoothing)
+	limit := float64(maxTrialRatio * d.meanTimeRatio)
+	isTrial := w.proof.unproven && a.startedAt >= w.proof.unprovenSince
+	if isTrial && ratio <= limit {
+		w.proof.trialPassed = true
+	}
+	d.meanTimeRatio = smooth(d.meanTimeRatio, min(ratio, limit), timeRatioSmoothing)
 }
 
 // evaluateUnproven stores an unproven worker without a trial left in the selection, if it may take the
-// request and no better one came before it: one that needs no health check is better.
+// request and is preferable to those before it.
 func (d *Dispatcher) evaluateUnproven(s *selection, w *worker) {
 	d.updateSuspicion(w)
 	leased := d.holdsLease(w)
 	if len(w.attempts) > 0 || d.isUnfit(s.request, w) || !leased && !d.mayCheckLease(s.request, w) {
 		return
 	}
-	if s.unproven == nil || leased && !d.holdsLease(s.unproven) {
+	if s.unproven == nil || d.compareUnproven(s.request.function, w, s.unproven) > 0 {
 		s.unproven = w
 	}
 }
 
+// compareUnproven returns a positive number if a is preferable to b for a function: it needs no health check,
+// holds the function, or has more trial tokens. These are random at first, so that the routers, which rank
+// workers alike, choose different ones.
+func (d *Dispatcher) compareUnproven(f *function, a, b *worker) int {
+	isResident := func(w *worker) bool { return d.now < f.placementOn(w).residentUntil }
+	return cmp.Or(
+		compareBools(d.holdsLease(a), d.holdsLease(b)),
+		compareBools(isResident(a), isResident(b)),
+		cmp.Compare(a.proof.trialTokens, b.proof.trialTokens),
+	)
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // recordContactLoss records that a worker may have stopped: a connection to it failed, or it reported that
 // it drains.
 func (d *Dispatcher) recordContactLoss(w *worker) {
--- a/dispatch/possiblerestarts_test.go
+++ b/dispatch/possiblerestarts_test.go
@@ -104,6 +104,66 @@
 	}
 }
 
+// TestFirstTrialIsComparedWithEarlierResponses guards against a worker that was restarted unseen and passes the first trial of
+// a router, however long it takes: the trial was compared with itself.
+func TestFirstTrialIsComparedWithEarlierResponses(t *testing.T) {
+	const usual = 100 * time.Millisecond
+	for name, test := range map[string]struct {
+		took   time.Duration
+		passed bool
+	}{
+		"as quick as before": {usual, true},
+		"cold":               {5 * usual, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newLeaseHarness(t, nil)
+			h.reportConnections(0)
+			for range 20 {
+				started := h.startAttempt("f", classIdempotent)
+				h.advance(usual)
+				h.endAttempt(started, 0, outcomeOf(OK, usual))
+				h.confirm()
+			}
+			h.expireListLease()
+			_, actions := h.request("f", classIdempotent)
+			trial := h.onlyAttempt(h.answerLeaseChecks(actions))
+			h.advance(test.took)
+			h.endAttempt(trial, 0, outcomeOf(OK, test.took))
+			if passed := h.dispatcher.workers[trial.Worker].proof.trialPassed; !trial.Unproven || passed != test.passed {
+				t.Errorf("unproven: %v, trial passed: %v, want %v", trial.Unproven, passed, test.passed)
+			}
+		})
+	}
+}
+
+// TestRoutersTryDifferentUnprovenWorkers guards against many routers that all send their first request to the same unproven
+// worker, the first of a ranking that they share.
+func TestRoutersTryDifferentUnprovenWorkers(t *testing.T) {
+	const routers = 60
+	chosen := map[string]int{}
+	for seed := range uint64(routers) {
+		s := testSettings()
+		s.Routers, s.WorkersLoadOnMiss, s.DrainGrace, s.HedgingAllowed = routers, true, testDrainGrace, false
+		h := &leaseHarness{harness: newHarnessWithoutEndpoints(t, s, seed)}
+		list := EndpointUpdate{Snapshot: true}
+		for _, id := range []string{"w1", "w2", "w3"} {
+			list.Endpoints = append(list.Endpoints, Endpoint{ID: id, Kind: "big"})
+		}
+		h.step(list)
+		h.confirm()
+		h.reportConnections(0)
+		h.expireListLease()
+		_, actions := h.request("f", classIdempotent)
+		chosen[h.onlyAttempt(h.answerLeaseChecks(actions)).Worker]++
+	}
+	for _, id := range []string{"w1", "w2", "w3"} {
+		if chosen[id] < routers/6 {
+			t.Errorf("attempts by worker: %v, want a sixth of %d at each", chosen, routers)
+			break
+		}
+	}
+}
+
 // assumeRestart lets the router lose and regain contact with w2 while the list is out of date, and returns the worker.
 func (h *leaseHarness) assumeRestart() *worker {
 	h.t.Helper()
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -21,7 +21,7 @@
 	list                endpointList
 	connectionsReported bool          // the caller reports its connections
 	proofsNeeded        bool          // connections have to prove that workers were not restarted
-	trialRatio          float64       // mean ratio of the time of a trial to the expected time; 0 means unknown
+	meanTimeRatio       float64       // of the times of responses to the expected times; 0 means unknown
 	proofsUpdatedFor    time.Duration // the confirmation of the list for which worker.proof was last updated
 	workers             map[string]*worker
 	activeWorkers       []*worker          // those that may get attempts, sorted by id
