gossip: weights of signers, events and operators' lists stand in files of their own

Need: suspicion_quorum.go was the largest file of the product that is not generated (376 lines, four concerns).

Ruled out: types of their own for the parts; they share the state of one quorum.

Change: declarations move to signer_weight.go, quorum_events.go and suspicions.go, unchanged.

Result: go test ./internal/gossip passes with all recorded sums; the linter is clean.

--- a/internal/gossip/suspicion_quorum.go
+++ b/internal/gossip/suspicion_quorum.go
@@ -1,11 +1,9 @@
 package gossip
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -71,67 +69,6 @@
 	Contradicted    uint64 `json:"contradicted"` // checks that found the worker alive
 }
 
-// Claim is another router's claim about a worker, in the incarnation that started at Started.
-type Claim struct {
-	Worker  string
-	Started uint64 // Unix milliseconds, as in WorkerList; claims about another incarnation are ignored
-	Kind    StatementKind
-	Class   string // of WorkerFailing
-	Signer  string
-	Age     time.Duration // since the claim was signed
-}
-
-// CheckResult is the result of a CheckWorker.
-type CheckResult int
-
-// The results of a check.
-const (
-	CheckSkipped     CheckResult = iota // no check was made; nothing is known
-	CheckFoundAlive                     // the worker responded
-	CheckFoundSilent                    // the worker did not respond
-)
-
-// String returns the result as a lower-case word.
-func (r CheckResult) String() string {
-	switch r {
-	case CheckSkipped:
-		return "skipped"
-	case CheckFoundAlive:
-		return "alive"
-	case CheckFoundSilent:
-		return "silent"
-	}
-	return "CheckResult(" + strconv.Itoa(int(r)) + ")"
-}
-
-// WorkerChecked reports the result of a CheckWorker.
-type WorkerChecked struct {
-	Worker string
-	Result CheckResult
-}
-
-func (Claim) quorumEvent()         {}
-func (WorkerChecked) quorumEvent() {}
-
-// QuorumAction is an output of [SuspicionQuorum.Step].
-type QuorumAction interface{ quorumAction() }
-
-// CheckWorker requests that the caller check whether a worker responds and report the result as [WorkerChecked].
-type CheckWorker struct{ Worker string }
-
-// SilenceConfirmed reports that a worker did not respond to this router's check either. The caller passes it to the
-// dispatcher.
-type SilenceConfirmed struct{ Worker string }
-
-func (CheckWorker) quorumAction()      {}
-func (SilenceConfirmed) quorumAction() {}
-
-// weightPenalty is the amount by which a signer's weight is below 1.
-type weightPenalty struct {
-	penalty   float64 // 1 minus the weight at updatedAt; halves every WeightHalfLife
-	updatedAt time.Duration
-}
-
 // workerState holds the claims about a listed worker and the times of its latest response and check.
 type workerState struct {
 	started                uint64
@@ -151,23 +88,6 @@
 	}
 }
 
-// Weight returns the current weight of a signer's claims, 0 to 1.
-func (q *SuspicionQuorum) Weight(signer string) float64 {
-	r, ok := q.penalties[signer]
-	if !ok {
-		return 1
-	}
-	return 1 - float64(r.penalty*math.Exp2(-float64(q.now-r.updatedAt)/float64(q.cfg.WeightHalfLife)))
-}
-
-func (q *SuspicionQuorum) setWeight(signer string, weight float64) {
-	if weight >= 1 {
-		delete(q.penalties, signer)
-		return
-	}
-	q.penalties[signer] = weightPenalty{penalty: 1 - weight, updatedAt: q.now}
-}
-
 // SilenceWeight returns the total weight of the unexpired claims that a worker is silent.
 func (q *SuspicionQuorum) SilenceWeight(worker string) float64 {
 	if w := q.workers[worker]; w != nil {
@@ -324,53 +244,3 @@
 	q.stats.ConfirmedSilent++
 	return true
 }
-
-// Suspicion summarizes the claims of one kind about a worker, for operators.
-type Suspicion struct {
-	Worker  string   `json:"worker"`
-	Kind    string   `json:"about"`
-	Class   string   `json:"class,omitempty"`
-	Weight  float64  `json:"weight"`
-	Signers []string `json:"by"`
-}
-
-// Suspicions lists the unexpired claims about workers, sorted by worker, silence first, then by kind and class.
-func (q *SuspicionQuorum) Suspicions() []Suspicion {
-	var list []Suspicion
-	for _, id := range slices.Sorted(maps.Keys(q.workers)) {
-		w := q.workers[id]
-		if weight := q.silenceWeightOf(w); weight > 0 {
-			signers := slices.Sorted(maps.Keys(w.silenceClaims))
-			list = append(list, Suspicion{Worker: id, Kind: WorkerSilent.String(), Weight: weight, Signers: signers})
-		}
-		list = append(list, q.otherSuspicions(id, w)...)
-	}
-	return list
-}
-
-// otherSuspicions lists the unexpired claims about a worker other than silence, and removes the expired ones.
-func (q *SuspicionQuorum) otherSuspicions(id string, w *workerState) []Suspicion {
-	type subject struct{ kind, class string }
-	signers := map[subject][]string{}
-	for key, c := range w.otherClaims {
-		if q.now-c.Age > q.cfg.ClaimLifetime {
-			delete(w.otherClaims, key)
-			continue
-		}
-		s := subject{c.Kind.String(), c.Class}
-		signers[s] = append(signers[s], c.Signer)
-	}
-	ordered := slices.SortedFunc(maps.Keys(signers), func(a, b subject) int {
-		return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.class, b.class))
-	})
-	var list []Suspicion
-	for _, s := range ordered {
-		slices.Sort(signers[s])
-		suspicion := Suspicion{Worker: id, Kind: s.kind, Class: s.class, Signers: signers[s]}
-		for _, signer := range signers[s] {
-			suspicion.Weight += q.Weight(signer)
-		}
-		list = append(list, suspicion)
-	}
-	return list
-}
