--- a/internal/httprouter/unseen_restart_test.go
+++ b/internal/httprouter/unseen_restart_test.go
@@ -1,7 +1,6 @@
 package httprouter
 
 import (
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -22,22 +21,11 @@
 	},
 	"SIGHUP names an address without a server": func(h *harness) {
 		moved := *h.server.cfg
-		moved.DiscoveryAddress = unusedAddress(h.t)
+		moved.DiscoveryAddress = testsupport.UnusedAddress(h.t)
 		h.server.UpdateConfig(&moved)
 	},
 }
 
-// unusedAddress returns an address that nothing listens on.
-func unusedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // TestRestartIsPossibleWithoutConnections guards against a router that takes a worker for warm after a restart that it could
 // not see: it had closed its connections as idle, and then lost the endpoint list.
 func TestRestartIsPossibleWithoutConnections(t *testing.T) {
@@ -91,6 +79,9 @@
 	if unproven := h.server.router.Stats().UnprovenAttempts - before.UnprovenAttempts; unproven > 0 {
 		t.Errorf("%d attempts doubted workers that were connected all along", unproven)
 	}
+	for _, w := range h.workers[1:] {
+		w.Stop() // otherwise they may serve all calls, since they hold a lease and the restarted worker doesn't
+	}
 	h.restart(h.workers[0])
 	testsupport.WaitUntil(t, "a restart is assumed", func() bool {
 		h.makeCalls(1)
