dispatch: some routers may try an unproven worker at once, so a sound fleet pays less

Their requests went to workers that didn't hold the function and waited for loads there, as each router opened its unproven workers one after the other.

Change: the trial tokens of a worker begin with a chance of initialLimit / Routers to be above zero, at most the rate of trials.

Result: TestSomeRoutersTryAtOnce failed before (0 in place of 0.12 with 100 routers).

--- a/dispatch/possiblerestarts.go
+++ b/dispatch/possiblerestarts.go
@@ -78,10 +78,12 @@
 	}
 }
 
-// beginTrials resets the trials of a worker. The first comes at a random time, because otherwise all routers
-// would send theirs at the same time.
+// beginTrials resets the trials of a worker. Some of the routers may send their first trial at once: about as
+// many as a new worker has requests in flight from all routers together. At the others it comes at a random
+// time, because otherwise all routers would send theirs at the same time.
 func (d *Dispatcher) beginTrials(w *worker) {
-	w.proof.trialTokens = -d.random.Float64()
+	chance := min(initialLimit/float64(d.settings.Routers), d.trialRate(w))
+	w.proof.trialTokens = chance - float64(d.random.Float64())
 	w.proof.trialsAt = d.acceptedCount
 	w.proof.trialPassed = false
 	w.proof.unprovenSince = d.now
@@ -94,17 +96,22 @@
 	if !w.proof.unproven || w.proof.trialPassed {
 		return true
 	}
-	fraction := d.fractionIfRestarted(w)
-	if fraction == 1 {
+	if d.fractionIfRestarted(w) == 1 {
 		return true
 	}
 	share := float64(d.acceptedCount-w.proof.trialsAt) / float64(max(len(d.activeWorkers), 1))
-	refill := float64(d.settings.OverloadMultiple * fraction * share)
+	refill := float64(d.trialRate(w) * share)
 	w.proof.trialTokens = min(w.proof.trialTokens+refill, 1)
 	w.proof.trialsAt = d.acceptedCount
 	return w.proof.trialTokens > 0
 }
 
+// trialRate returns which part of an even share of this router's requests an unproven worker may get: what it
+// can take if it was restarted, relative to its whole capacity.
+func (d *Dispatcher) trialRate(w *worker) float64 {
+	return d.settings.OverloadMultiple * d.fractionIfRestarted(w)
+}
+
 // fractionIfRestarted returns the fraction of its capacity that an unproven worker has at least: its process
 // has been running since its oldest open connection was opened.
 func (d *Dispatcher) fractionIfRestarted(w *worker) float64 {
--- a/dispatch/possiblerestarts_test.go
+++ b/dispatch/possiblerestarts_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -134,6 +135,21 @@
 	}
 }
 
+// newUnprovenHarness starts a router whose list is out of date and that has no connection to any of three workers.
+func newUnprovenHarness(t *testing.T, s Settings, seed uint64) *leaseHarness {
+	t.Helper()
+	h := &leaseHarness{harness: newHarnessWithoutEndpoints(t, s, seed)}
+	list := EndpointUpdate{Snapshot: true}
+	for _, id := range []string{"w1", "w2", "w3"} {
+		list.Endpoints = append(list.Endpoints, Endpoint{ID: id, Kind: "big"})
+	}
+	h.step(list)
+	h.confirm()
+	h.reportConnections(0)
+	h.expireListLease()
+	return h
+}
+
 // TestRoutersTryDifferentUnprovenWorkers guards against many routers that all send their first request to the same unproven
 // worker, the first of a ranking that they share.
 func TestRoutersTryDifferentUnprovenWorkers(t *testing.T) {
@@ -142,15 +158,7 @@
 	for seed := range uint64(routers) {
 		s := testSettings()
 		s.Routers, s.WorkersLoadOnMiss, s.DrainGrace, s.HedgingAllowed = routers, true, testDrainGrace, false
-		h := &leaseHarness{harness: newHarnessWithoutEndpoints(t, s, seed)}
-		list := EndpointUpdate{Snapshot: true}
-		for _, id := range []string{"w1", "w2", "w3"} {
-			list.Endpoints = append(list.Endpoints, Endpoint{ID: id, Kind: "big"})
-		}
-		h.step(list)
-		h.confirm()
-		h.reportConnections(0)
-		h.expireListLease()
+		h := newUnprovenHarness(t, s, seed)
 		_, actions := h.request("f", classIdempotent)
 		chosen[h.onlyAttempt(h.answerLeaseChecks(actions)).Worker]++
 	}
@@ -162,6 +170,32 @@
 	}
 }
 
+// TestSomeRoutersTryAtOnce guards against calls that wait for loads in a sound fleet after a quiet time, because each router
+// tried one worker after the other, whichever holds the function. So few routers may that a restarted worker takes it.
+func TestSomeRoutersTryAtOnce(t *testing.T) {
+	const fleets = 1200 / 3 // of one router and three workers
+	s := testSettings()
+	for routers, want := range map[int]float64{
+		1:   s.OverloadMultiple * s.SlowStartShare,
+		100: initialLimit / 100,
+		300: initialLimit / 300,
+	} {
+		s.Routers, s.DrainGrace = routers, testDrainGrace
+		allowed := 0
+		for seed := range uint64(fleets) {
+			h := newUnprovenHarness(t, s, seed)
+			for _, w := range h.dispatcher.activeWorkers {
+				if h.dispatcher.admitTrial(w) {
+					allowed++
+				}
+			}
+		}
+		if got := float64(allowed) / (3 * fleets); math.Abs(got-want) > 0.04 {
+			t.Errorf("%d routers: a trial was allowed at once with a probability of %.3f, want %.3f", routers, got, want)
+		}
+	}
+}
+
 // assumeRestart lets the router lose and regain contact with w2 while the list is out of date, and returns the worker.
 func (h *leaseHarness) assumeRestart() *worker {
 	h.t.Helper()
