dispatch: a rejected request waits for attempts in flight before it tries an unproven worker

A rejection ends the lease of the worker, so nothing was left to wait for, and the request went to an unproven worker without a trial left. The restarted one is the only one that is not full.

Change: unprovenWithoutTrial. A request that was rejected takes no unproven worker without a trial while an attempt is in flight at a worker that isn't suspected; their ends renew leases.

Result: TestRejectedRequestsWaitForAttemptsInFlight failed before (retried at once).

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -89,6 +89,7 @@
 	if e.Result == NotSent && a.connectedBefore > 0 {
 		a.worker.notConnectedBefore = a.connectedBefore
 	}
+	a.rejected = e.Result == Rejected
 	a.failed = e.Result != OK && e.Result != NotResident && e.Result != NotSent
 	d.recordAttemptEnd(a, e)
 	switch {
--- a/dispatch/possiblerestarts.go
+++ b/dispatch/possiblerestarts.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+)
 
 // This file decides which workers may have been restarted unseen, and limits the requests that they get:
 // worker.proof.
@@ -15,7 +18,8 @@
 // that is merely unproven gets trials: as many requests as a restarted worker can take from all routers
 // together. Once it has responded to one about as quickly as workers usually do, it gets its whole share
 // again. The other requests go to other workers. Only if there is none to wait for, because no unproven
-// worker has passed a trial yet, a request goes to one that has no attempt of this router in flight.
+// worker has passed a trial yet, a request goes to one that has no attempt of this router in flight. If a
+// full worker has rejected the request, it waits for the attempts in flight first.
 
 const (
 	// maxTrialRatio is how much longer than usual, at all workers, a trial may take. A worker that has just
@@ -151,6 +155,17 @@
 	}
 }
 
+// unprovenWithoutTrial returns the unproven worker without a trial left that a request goes to as there is no
+// other to wait for, or nil. A rejected request waits while attempts are in flight. Otherwise those of all
+// routers would go to a restarted worker in an overload, as it is the only one that is not full.
+func (d *Dispatcher) unprovenWithoutTrial(s *selection) *worker {
+	awaitsResponse := func(w *worker) bool { return len(w.attempts) > 0 && !w.suspected }
+	if s.request.wasRejected() && slices.ContainsFunc(d.activeWorkers, awaitsResponse) {
+		return nil
+	}
+	return s.unproven
+}
+
 // compareUnproven returns a positive number if a is preferable to b for a function: it needs no health check,
 // holds the function, or has more trial tokens. These are random at first, so that the routers, which rank
 // workers alike, choose different ones.
--- a/dispatch/possiblerestarts_test.go
+++ b/dispatch/possiblerestarts_test.go
@@ -135,6 +135,44 @@
 	}
 }
 
+// TestRejectedRequestsWaitForAttemptsInFlight guards against an overload of a worker that was restarted unseen by the requests
+// which full workers have rejected: it is the only one that is not full. A router without other attempts tries it at once.
+func TestRejectedRequestsWaitForAttemptsInFlight(t *testing.T) {
+	for name, test := range map[string]struct {
+		result  Result
+		others  int // attempts of other requests in flight
+		retried bool
+	}{
+		"rejected, another attempt in flight":    {Rejected, 1, false},
+		"rejected, nothing in flight":            {Rejected, 0, true},
+		"not reached, another attempt in flight": {ConnectFailed, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testSettings()
+			s.Routers, s.WorkersLoadOnMiss, s.DrainGrace, s.HedgingAllowed = 300, true, testDrainGrace, false
+			h := newUnprovenHarness(t, s, 1)
+			var others []StartAttempt
+			for range test.others {
+				_, actions := h.request("other", classIdempotent)
+				others = append(others, h.onlyAttempt(h.answerLeaseChecks(actions)))
+			}
+			_, actions := h.request("f", classIdempotent)
+			first := h.onlyAttempt(h.answerLeaseChecks(actions))
+			actions = h.answerLeaseChecks(h.endAttempt(first, 0, outcomeOf(test.result, harnessTick)))
+			if retried := len(actionsOf[StartAttempt](actions)) > 0; retried != test.retried {
+				t.Fatalf("retried at once: %v, want %v", retried, test.retried)
+			}
+			if test.retried {
+				return
+			}
+			retry := h.onlyAttempt(h.answerLeaseChecks(h.endAttempt(others[0], 0, outcomeOf(OK, harnessTick))))
+			if retry.ID != first.ID || retry.Worker != others[0].Worker {
+				t.Errorf("%+v, want the rejected request at %s, which has passed its trial", retry, others[0].Worker)
+			}
+		})
+	}
+}
+
 // newUnprovenHarness starts a router whose list is out of date and that has no connection to any of three workers.
 func newUnprovenHarness(t *testing.T, s Settings, seed uint64) *leaseHarness {
 	t.Helper()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -51,6 +51,7 @@
 	ended             bool
 	mayHaveRun        bool // it has ended, and nothing proves that it did not run
 	failed            bool // it failed, so that retries prefer other workers
+	rejected          bool // the worker was full or drained
 }
 
 // attemptInFlight returns an attempt, or nil if it is unknown or has ended.
@@ -62,6 +63,11 @@
 	return r.attempts[number]
 }
 
+// wasRejected reports whether a worker that was full or drained has rejected an attempt of r.
+func (r *request) wasRejected() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.rejected })
+}
+
 // failedOn reports whether an attempt of r failed at w or is in flight there.
 func (r *request) failedOn(w *worker) bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.worker == w && (a.failed || !a.ended) })
--- a/dispatch/selection.go
+++ b/dispatch/selection.go
@@ -92,7 +92,7 @@
 	}
 	nothingToWaitFor := s.preferred == nil && !s.limited && !s.backingOff
 	if nothingToWaitFor {
-		return cmp.Or(s.unproven, s.fallback, s.overloaded)
+		return cmp.Or(d.unprovenWithoutTrial(s), s.fallback, s.overloaded)
 	}
 	return s.preferred
 }
