httprouter: a test of the shutdown waits until the router has accepted its calls

The test waited for requests that the HTTP server counts as open, before it submits them to the router. A call that the router accepts after the shutdown has begun gets its end as deadline, and so 504.

Change: the test waits for three calls at the router. What it expects is the same.

--- a/internal/httprouter/shutdown_test.go
+++ b/internal/httprouter/shutdown_test.go
@@ -33,7 +33,7 @@
 			answers <- answer{class, status}
 		}()
 	}
-	testsupport.WaitUntil(t, "the calls are open", func() bool { return h.server.httpServer.Stats().OpenRequests == 3 })
+	testsupport.WaitUntil(t, "the router has accepted the calls", func() bool { return h.server.router.Stats().CallsInFlight == 3 })
 	if unanswered := h.server.Shutdown(); unanswered != 0 {
 		t.Errorf("%d calls without an answer", unanswered)
 	}
