dispatch: the first message of a stream passes a trial, not its end

What callers would see: behind `serve`, after an outage in which nothing restarted, sound workers get no more than trials for as long as the streams last that were sent to them.

Cause: a trial was judged when its attempt ended. The time that was judged is that of the first message, which is known when the response starts.

Ruled out: to judge it at both; the mean of all times would count a stream twice.

Change: recordTimeRatio is called with the time of the first message, and at the end only for what is no stream. It has one job less: passTrial.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -69,6 +69,7 @@
 	a.firstMessageAfter = max(e.Duration, 1)
 	d.markResponsive(a.worker)
 	d.renewLease(a.worker, a.startedAt)
+	d.recordTimeRatio(a, a.firstMessageAfter)
 	a.worker.removeAttempt(a)
 }
 
@@ -128,7 +129,9 @@
 	switch e.Result {
 	case OK:
 		d.renewLease(w, a.startedAt)
-		d.recordTrial(a, e)
+		if a.firstMessageAfter == 0 { // that of a stream was recorded when it started
+			d.recordTimeRatio(a, e.Duration)
+		}
 		d.recordResponse(a, e)
 		d.recordClassServed(w, a.request.class)
 		p.residentUntil = max(p.residentUntil, d.now+d.settings.IdleResidency)
--- a/dispatch/possiblerestarts.go
+++ b/dispatch/possiblerestarts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // This file decides which workers may have been restarted unseen, and limits the requests that they get:
@@ -126,22 +127,27 @@
 	return d.fractionAfter(d.now - startedAt)
 }
 
-// recordTrial compares the time of a response with the expected one. An unproven worker passes its trial if
-// the ratio is about the mean at all workers, which also grows while all of them are busier than before.
-func (d *Dispatcher) recordTrial(a *attempt, e AttemptEnded) {
-	w := a.worker
-	ratio := e.Duration.Seconds() / max(a.expectedSeconds, minExpectedSeconds)
+// recordTimeRatio compares the time of a response, or until its first message, with the expected one. An
+// unproven worker passes its trial if the ratio is about the mean at all workers, which also grows while all
+// of them are busier than before.
+func (d *Dispatcher) recordTimeRatio(a *attempt, took time.Duration) {
+	ratio := took.Seconds() / max(a.expectedSeconds, minExpectedSeconds)
 	if d.meanTimeRatio == 0 {
 		d.meanTimeRatio = ratio
 	}
 	limit := float64(maxTrialRatio * d.meanTimeRatio)
-	isTrial := w.proof.unproven && a.startedAt >= w.proof.unprovenSince
-	if isTrial && ratio <= limit {
-		w.proof.trialPassed = true
+	if ratio <= limit {
+		a.passTrial()
 	}
 	d.meanTimeRatio = smooth(d.meanTimeRatio, min(ratio, limit), timeRatioSmoothing)
 }
 
+// passTrial records that an unproven worker has responded quickly, if the attempt was started since it is so.
+func (a *attempt) passTrial() {
+	proof := &a.worker.proof
+	proof.trialPassed = proof.trialPassed || proof.unproven && a.startedAt >= proof.unprovenSince
+}
+
 // evaluateUnproven stores an unproven worker without a trial left in the selection, if it may take the
 // request and is preferable to those before it.
 func (d *Dispatcher) evaluateUnproven(s *selection, w *worker) {
--- a/dispatch/possiblerestarts_test.go
+++ b/dispatch/possiblerestarts_test.go
@@ -188,6 +188,28 @@
 	return h
 }
 
+// TestStartedStreamPassesTrial guards against sound workers that get few requests for as long as a stream lasts: a stream
+// that had started quickly was a trial until its end.
+func TestStartedStreamPassesTrial(t *testing.T) {
+	h := newLeaseHarness(t, nil)
+	h.reportConnections(0)
+	h.expireListLease()
+	_, actions := h.request("f", classIdempotent)
+	started := h.onlyAttempt(h.answerLeaseChecks(actions))
+	w := h.dispatcher.workers[started.Worker]
+	h.advance(harnessTick)
+	h.step(ResponseStarted{ID: started.ID, Worker: started.Worker, Duration: harnessTick})
+	if !w.proof.trialPassed {
+		t.Error("the first message of a stream passes no trial")
+	}
+	mean := h.dispatcher.meanTimeRatio
+	h.advance(time.Second)
+	h.endAttempt(started, 0, outcomeOf(OK, time.Second))
+	if !w.proof.trialPassed || h.dispatcher.meanTimeRatio != mean {
+		t.Errorf("trial passed: %v, mean ratio %v, want %v: the end of the stream counted", w.proof.trialPassed, h.dispatcher.meanTimeRatio, mean)
+	}
+}
+
 // TestRoutersTryDifferentUnprovenWorkers guards against many routers that all send their first request to the same unproven
 // worker, the first of a ranking that they share.
 func TestRoutersTryDifferentUnprovenWorkers(t *testing.T) {
