dispatch: the test of trials that start at once fails for 300 routers, too

Cause: TestSomeRoutersTryAtOnce allowed a difference of 0.04, which is the whole chance with 300 routers, so that case could not fail.

Ruled out: another bound for each case.

Change: a third of the expected chance is allowed; the count of seeds has a plain name. doc.go is wrapped.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -16,8 +16,8 @@
 //   - The caller may reuse events and their slices after Step returns. The returned slice is valid until the next call.
 //
 // settings.go, events.go, actions.go and causes.go define the interface. state.go, worker.go, function.go, request.go,
-// requestqueue.go and timers.go hold the state and make no decisions. All decisions and tuning constants are in the other files, which
-// deploy/balancer.toml lists under "policy":
+// requestqueue.go and timers.go hold the state and make no decisions. All decisions and tuning constants are in the
+// other files, which deploy/balancer.toml lists under "policy":
 //
 //   - dispatcher.go: Step, which dispatches the events to their handlers and sets the timer
 //   - listfreshness.go, leases.go, leasechecks.go: how long the endpoint list counts as current, which workers may get
--- a/dispatch/possiblerestarts_test.go
+++ b/dispatch/possiblerestarts_test.go
@@ -233,7 +233,7 @@
 // TestSomeRoutersTryAtOnce guards against calls that wait for loads in a sound fleet after a quiet time, because each router
 // tried one worker after the other, whichever holds the function. So few routers may that a restarted worker takes it.
 func TestSomeRoutersTryAtOnce(t *testing.T) {
-	const fleets = 1200 / 3 // of one router and three workers
+	const seeds = 400 // each with three workers
 	s := testSettings()
 	for routers, want := range map[int]float64{
 		1:   s.OverloadMultiple * s.SlowStartShare,
@@ -242,7 +242,7 @@
 	} {
 		s.Routers, s.DrainGrace = routers, testDrainGrace
 		allowed := 0
-		for seed := range uint64(fleets) {
+		for seed := range uint64(seeds) {
 			h := newUnprovenHarness(t, s, seed)
 			for _, w := range h.dispatcher.activeWorkers {
 				if h.dispatcher.admitTrial(w) {
@@ -250,7 +250,7 @@
 				}
 			}
 		}
-		if got := float64(allowed) / (3 * fleets); math.Abs(got-want) > 0.04 {
+		if got := float64(allowed) / (3 * seeds); math.Abs(got-want) > want/3 {
 			t.Errorf("%d routers: a trial was allowed at once with a probability of %.3f, want %.3f", routers, got, want)
 		}
 	}
